--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# RapidCheck reads its seed from RC_PARAMS: fixed, so that every run gives the same verdict.
+SEED ?= 20261204
+BUILD := build
+
+.PHONY: install build demo check bench capacity examples format format-check lint sanitize clean
+
+install:
+	scripts/install-packages.sh
+
+build:
+	cmake --preset default >/dev/null
+	cmake --build $(BUILD)
+
+demo: install build
+	$(BUILD)/figpulley demo
+
+check: install build examples
+	@echo "RapidCheck seed: $(SEED)"
+	RC_PARAMS="seed=$(SEED)" $(BUILD)/figpulley-tests --jobs 2
+
+examples: build
+	scripts/run-examples.sh $(BUILD)/figpulley
+
+bench: build
+	scripts/bench-table.sh $(BUILD)/figpulley
+
+capacity: build
+	$(BUILD)/figpulley capacity
+
+format:
+	git ls-files -co --exclude-standard '*.cpp' '*.h' | xargs clang-format-14 -i
+
+format-check:
+	git ls-files -co --exclude-standard '*.cpp' '*.h' | xargs clang-format-14 --dry-run --Werror
+
+lint: build
+	git ls-files -co --exclude-standard 'src/*.cpp' | xargs -P 6 -n 4 clang-tidy-14 -p $(BUILD) --quiet
+
+sanitize:
+	cmake --preset sanitize >/dev/null
+	cmake --build build-sanitize
+	RC_PARAMS="seed=$(SEED)" build-sanitize/figpulley-tests --jobs 2
+
+clean:
+	rm -rf $(BUILD) build-sanitize
--- /dev/null
+++ b/src/alerts/ruleset.h
@@ -0,0 +1,7 @@
+#pragma once
+namespace figpulley::alerts
+{
+/// All alert rules in force.
+struct RuleSet {
+};
+}
--- /dev/null
+++ b/src/bench/experimentoptions.cpp
@@ -0,0 +1,45 @@
+#include "bench/experimentoptions.h"
+
+#include <array>
+
+namespace figpulley::bench
+{
+namespace
+{
+constexpr std::array<std::string_view, 6> scenarioNames {"steady", "surge", "deep-slow", "deep-slow-retrying", "cold-start", "lying-load"};
+constexpr std::array<std::string_view, 4> modeNames {"full", "none", "per-hop-retries", "static-limit"};
+static_assert(scenarioNames.size() == static_cast<std::size_t>(Scenario::LyingLoad) + 1);
+static_assert(modeNames.size() == static_cast<std::size_t>(ControlMode::StaticLimit) + 1);
+
+template<class Enum, std::size_t Size>
+std::optional<Enum> fromName(const std::array<std::string_view, Size> &names, std::string_view name) noexcept
+{
+    for (std::size_t index = 0; index < Size; ++index) {
+        if (names[index] == name) {
+            return static_cast<Enum>(index);
+        }
+    }
+    return std::nullopt;
+}
+}
+
+std::string_view name(Scenario scenario) noexcept
+{
+    return scenarioNames[static_cast<std::size_t>(scenario)];
+}
+
+std::string_view name(ControlMode mode) noexcept
+{
+    return modeNames[static_cast<std::size_t>(mode)];
+}
+
+std::optional<Scenario> scenarioFromName(std::string_view name) noexcept
+{
+    return fromName<Scenario>(scenarioNames, name);
+}
+
+std::optional<ControlMode> controlModeFromName(std::string_view name) noexcept
+{
+    return fromName<ControlMode>(modeNames, name);
+}
+}
--- /dev/null
+++ b/src/bench/fwd.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/// Forward declarations of the experiments.
+namespace figpulley::bench
+{
+class LoadGenerator;
+class Testbed;
+struct Deployment;
+struct ExperimentOptions;
+struct ExperimentReport;
+}
--- /dev/null
+++ b/src/bench/summary.cpp
@@ -0,0 +1,230 @@
+#include "bench/summary.h"
+
+#include <algorithm>
+#include <array>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace figpulley::bench
+{
+namespace
+{
+constexpr double bucketSeconds = 0.1;
+constexpr double recoveredShare = 0.95;
+constexpr std::size_t recoveryBuckets = 5; // over which goodput has to hold
+
+std::size_t bucketOf(core::Duration at)
+{
+    return static_cast<std::size_t>(core::toSeconds(at) / bucketSeconds);
+}
+
+PriorityReport &priorityOf(ExperimentReport &report, const std::string &name)
+{
+    const auto found = std::find_if(report.priorities.begin(), report.priorities.end(), [&](const PriorityReport &priority) { return priority.name == name; });
+    if (found != report.priorities.end()) {
+        return *found;
+    }
+    report.priorities.push_back({name, 0, 0, 0, 0});
+    return report.priorities.back();
+}
+
+bool usesDeep(const Deployment &deployment, const DemandModel &demand)
+{
+    if (demand.service == deployment.deepService) {
+        return true;
+    }
+    for (const auto &service : deployment.services) {
+        if (service.name == demand.service) {
+            return !service.routes.front().nested.empty();
+        }
+    }
+    return false;
+}
+
+int pathLength(const Deployment &deployment, const DemandModel &demand)
+{
+    return demand.service != deployment.deepService && usesDeep(deployment, demand) ? 2 : 1;
+}
+
+void countPriorities(ExperimentReport &report, const Deployment &deployment, const std::vector<CallRecord> &records)
+{
+    const auto begin = report.options.steadySeconds;
+    const auto end = begin + report.options.disturbedSeconds;
+    double deepOffered = 0;
+    double deepGood = 0;
+    for (const auto &demand : deployment.demand) {
+        static_cast<void>(priorityOf(report, demand.priority));
+    }
+    for (const auto &record : records) {
+        const auto at = core::toSeconds(record.intended);
+        const auto completed = at + core::toSeconds(record.latency);
+        // Goodput is what was completed while disturbed, whenever it was asked for.
+        const bool isDeepGood = record.result == CallResult::Good && completed >= begin && completed < end;
+        deepGood += isDeepGood && usesDeep(deployment, deployment.demand[record.demand]) ? 1 : 0;
+        if (at < begin || at >= end) {
+            continue;
+        }
+        const auto &demand = deployment.demand[record.demand];
+        auto &priority = priorityOf(report, demand.priority);
+        ++priority.offered;
+        priority.good += record.result == CallResult::Good ? 1 : 0;
+        priority.shed += record.result == CallResult::Shed ? 1 : 0;
+        priority.failed += record.result == CallResult::Failed ? 1 : 0;
+        if (usesDeep(deployment, demand)) {
+            deepOffered += 1;
+        }
+    }
+    const auto possible = std::min(deepOffered, report.capacity * report.options.disturbedSeconds);
+    report.goodputRatio = possible > 0 ? deepGood / possible : 0;
+}
+
+void countInvariants(ExperimentReport &report, const Deployment &deployment, const std::vector<CallRecord> &records, const standin::RunLog &log)
+{
+    double attempts = 0;
+    double busy = 0;
+    double wasted = 0;
+    for (const auto &record : records) {
+        const auto &demand = deployment.demand[record.demand];
+        const auto work = log.find(record.work);
+        const auto reached = static_cast<int>(work.received) - (pathLength(deployment, demand) - 1);
+        const auto made = std::max(record.clientAttempts + record.retries, reached);
+        attempts += made;
+        report.attemptsMax = std::max(report.attemptsMax, made);
+        busy += core::toSeconds(work.busy);
+        wasted += record.result == CallResult::Good ? 0 : core::toSeconds(work.busy);
+        report.nonIdempotentRepeats += !demand.isIdempotent && work.rootRuns > 1 ? 1 : 0;
+        report.notRunButRan += record.allSaidNotRun && work.rootRuns > 0 ? 1 : 0;
+        report.foreignAnswers += record.isForeign ? 1 : 0;
+    }
+    report.attemptsMean = records.empty() ? 0 : attempts / static_cast<double>(records.size());
+    report.wastedWorkRatio = busy > 0 ? wasted / busy : 0;
+}
+
+// A call is good at the instant at which it was meant to be sent: a bucket's goodput is about the demand of that bucket.
+void computeSeries(ExperimentReport &report, const Deployment &deployment, const std::vector<CallRecord> &records)
+{
+    const auto total = report.options.steadySeconds + report.options.disturbedSeconds + report.options.afterSeconds;
+    const auto buckets = static_cast<std::size_t>(total / bucketSeconds) + 1;
+    std::vector<double> offered(buckets);
+    std::vector<double> good(buckets);
+    report.bucketSeconds = bucketSeconds;
+    for (const auto &priority : report.priorities) {
+        report.series.push_back({priority.name, std::vector<double>(buckets)});
+    }
+    for (const auto &record : records) {
+        const auto bucket = std::min(bucketOf(record.intended), buckets - 1);
+        offered[bucket] += 1;
+        if (record.result != CallResult::Good) {
+            continue;
+        }
+        good[bucket] += 1;
+        for (auto &series : report.series) {
+            if (series.name == deployment.demand[record.demand].priority) {
+                series.perSecond[bucket] += 1 / bucketSeconds;
+            }
+        }
+    }
+    const auto first = bucketOf(core::Duration(static_cast<std::int64_t>((report.options.steadySeconds + report.options.disturbedSeconds) * 1e6)));
+    report.recoverySeconds = -1;
+    for (auto at = first; at + recoveryBuckets < buckets; ++at) {
+        double wantedSum = 0;
+        double goodSum = 0;
+        for (std::size_t offset = 0; offset < recoveryBuckets; ++offset) {
+            wantedSum += offered[at + offset];
+            goodSum += good[at + offset];
+        }
+        if (goodSum >= recoveredShare * wantedSum) {
+            report.recoverySeconds = static_cast<double>(at - first) * bucketSeconds;
+            return;
+        }
+    }
+}
+}
+
+void summarize(ExperimentReport &report, const Deployment &deployment, const std::vector<CallRecord> &records, const standin::RunLog &log)
+{
+    report.offered = records.size();
+    countPriorities(report, deployment, records);
+    countInvariants(report, deployment, records, log);
+    computeSeries(report, deployment, records);
+}
+
+std::string toJson(const ExperimentReport &report)
+{
+    nlohmann::ordered_json priorities = nlohmann::ordered_json::object();
+    for (const auto &priority : report.priorities) {
+        priorities[priority.name] = {{"offered", priority.offered}, {"good", priority.good}, {"shed", priority.shed}, {"failed", priority.failed}};
+    }
+    const nlohmann::ordered_json document {
+        {"deployment", report.options.deployment},
+        {"scenario", name(report.options.scenario)},
+        {"control", name(report.options.control)},
+        {"limit", config::name(report.options.limit)},
+        {"seed", report.options.seed},
+        {"offered", report.offered},
+        {"capacity_per_second", report.capacity},
+        {"goodput_ratio", report.goodputRatio},
+        {"priorities", priorities},
+        {"attempts_per_root_mean", report.attemptsMean},
+        {"attempts_per_root_max", report.attemptsMax},
+        {"recovery_seconds", report.recoverySeconds},
+        {"wasted_work_ratio", report.wastedWorkRatio},
+        {"non_idempotent_repeats", report.nonIdempotentRepeats},
+        {"not_run_but_ran", report.notRunButRan},
+        {"short_or_foreign_answers", report.foreignAnswers},
+        {"direct_latency_p99_us", report.directP99Us},
+        {"added_latency_p50_us", report.addedP50Us},
+        {"added_latency_p99_us", report.addedP99Us},
+        {"control_bytes_per_node_second", report.controlBytesPerNodeSecond},
+    };
+    return document.dump();
+}
+
+std::string toSvg(const ExperimentReport &report)
+{
+    constexpr double width = 900;
+    constexpr double height = 360;
+    constexpr double margin = 50;
+    constexpr std::array<const char *, 8> colours {"#888888", "#1f77b4", "#2ca02c", "#d62728", "#9467bd", "#8c564b", "#e377c2", "#17becf"};
+    double top = 1;
+    std::size_t buckets = 1;
+    for (const auto &series : report.series) {
+        buckets = std::max(buckets, series.perSecond.size());
+        for (const auto value : series.perSecond) {
+            top = std::max(top, value);
+        }
+    }
+    const auto x = [&](double bucket) { return margin + bucket / static_cast<double>(buckets) * (width - 2 * margin); };
+    const auto y = [&](double value) { return height - margin - value / top * (height - 2 * margin); };
+    auto svg = fmt::format("<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{}\" height=\"{}\" font-family=\"sans-serif\" font-size=\"12\">\n"
+                           "<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n"
+                           "<text x=\"{}\" y=\"20\">{} {} {}: good calls per second by priority</text>\n",
+                           width,
+                           height,
+                           margin,
+                           report.options.deployment,
+                           name(report.options.scenario),
+                           name(report.options.control));
+    const auto begin = report.options.steadySeconds / report.bucketSeconds;
+    const auto end = begin + report.options.disturbedSeconds / report.bucketSeconds;
+    svg += fmt::format("<rect x=\"{}\" y=\"{}\" width=\"{}\" height=\"{}\" fill=\"#f4e9d8\"/>\n", x(begin), y(top), x(end) - x(begin), y(0) - y(top));
+    for (std::size_t index = 0; index < report.series.size(); ++index) {
+        const auto &series = report.series[index];
+        const auto *colour = colours[index % colours.size()];
+        svg += fmt::format("<polyline fill=\"none\" stroke=\"{}\" stroke-width=\"1.5\" points=\"", colour);
+        for (std::size_t bucket = 0; bucket < series.perSecond.size(); ++bucket) {
+            svg += fmt::format("{:.1f},{:.1f} ", x(static_cast<double>(bucket)), y(series.perSecond[bucket]));
+        }
+        svg += fmt::format("\"/>\n<text x=\"{}\" y=\"{}\" fill=\"{}\">{}</text>\n", margin + 120.0 * static_cast<double>(index), height - 10, colour, series.name);
+    }
+    svg += fmt::format("<text x=\"5\" y=\"{}\">{:.0f}/s</text>\n<text x=\"5\" y=\"{}\">0</text>\n", y(top) + 4, top, y(0) + 4);
+    svg += fmt::format("<text x=\"{}\" y=\"{}\">0 s</text>\n<text x=\"{}\" y=\"{}\">{:.0f} s</text>\n</svg>\n",
+                       x(0),
+                       y(0) + 16,
+                       x(static_cast<double>(buckets)) - 20,
+                       y(0) + 16,
+                       static_cast<double>(buckets) * report.bucketSeconds);
+    return svg;
+}
+}
--- /dev/null
+++ b/src/bench/testbed.cpp
@@ -0,0 +1,226 @@
+#include "bench/testbed.h"
+
+#include "bench/benchfiles.h"
+#include "sync/applyprocess.h"
+
+#include <chrono>
+#include <future>
+#include <stdexcept>
+#include <thread>
+
+namespace figpulley::bench
+{
+namespace
+{
+using namespace std::chrono_literals;
+
+constexpr std::size_t nodeThreads = 4;
+constexpr auto settleTime = 20s;
+constexpr auto settlePoll = 50ms;
+constexpr core::Duration platformTimeout = 3s;
+const net::Address anyPort {"127.0.0.1", 0};
+}
+
+Testbed::Testbed(const Deployment &deployment, const ExperimentOptions &options)
+    : deployment(deployment)
+    , options(options)
+{
+    for (std::size_t at = 0; at < nodeThreads + 2; ++at) {
+        this->threads.push_back(std::make_unique<net::LoopThread>());
+    }
+    this->platformThread = this->threads[nodeThreads].get();
+    this->platformThread->call([this] {
+        this->platform = std::make_unique<standin::PlatformServer>(this->platformThread->loop(), anyPort);
+        this->platformAddress = this->platform->address();
+    });
+    for (const auto &service : deployment.services) {
+        for (int endpoint = 0; endpoint < service.endpoints; ++endpoint) {
+            auto vm = std::make_unique<TestVm>();
+            vm->service = service.name;
+            vm->zone = deployment.zones[static_cast<std::size_t>(endpoint) % deployment.zones.size()];
+            vm->upstreamThread = this->threads[nodeThreads + 1].get();
+            vm->nodeThread = this->threads[this->vms.size() % nodeThreads].get();
+            const bool isHeldBack = options.scenario == Scenario::ColdStart && service.name == deployment.deepService && endpoint + 1 == service.endpoints;
+            if (!isHeldBack) {
+                this->startVm(*vm, service, false);
+            }
+            this->vms.push_back(std::move(vm));
+        }
+    }
+}
+
+Testbed::~Testbed()
+{
+    for (auto &vm : this->vms) {
+        vm->nodeThread->call([&vm] { vm->node.reset(); });
+        vm->upstreamThread->call([&vm] { vm->upstream.reset(); });
+    }
+    this->platformThread->call([this] { this->platform.reset(); });
+    for (auto &thread : this->threads) {
+        thread->stop();
+    }
+}
+
+void Testbed::startVm(TestVm &vm, const ServiceModel &service, bool isCold)
+{
+    standin::UpstreamOptions upstream;
+    upstream.slots = service.slots;
+    upstream.connections = service.connections;
+    standin::UpstreamRoute probe;
+    probe.pathPrefix = "/probe";
+    upstream.routes = {probe};
+    upstream.routes.insert(upstream.routes.end(), service.routes.begin(), service.routes.end());
+    upstream.nestedAttempts = this->options.control == ControlMode::PerHopRetries ? 3 : 1;
+    upstream.isLoadMisleading = this->options.scenario == Scenario::LyingLoad;
+    upstream.coldStart = isCold ? core::Duration(3s) : core::Duration {};
+    upstream.seed = this->options.seed * 1000 + this->started;
+    vm.upstreamThread->call([&] {
+        vm.upstream = std::make_unique<standin::UpstreamServer>(vm.upstreamThread->loop(), anyPort, upstream, &this->runLog);
+        vm.upstreamAddress = vm.upstream->address();
+    });
+    node::NodeSettings settings;
+    settings.availabilityZone = vm.zone;
+    settings.service = service.name;
+    settings.entrance = anyPort;
+    settings.nested = anyPort;
+    settings.ingress = anyPort;
+    settings.control = anyPort;
+    settings.upstream = vm.upstreamAddress;
+    settings.platform = this->platformAddress;
+    settings.keys.add("bench", "a secret for the bench only");
+    settings.seed = this->options.seed * 7919 + this->started + 1;
+    settings.largestBody = 1UL << 20U;
+    if (!this->firstControl.empty()) {
+        settings.seeds.push_back(this->firstControl);
+    }
+    net::Address nested;
+    vm.nodeThread->call([&] {
+        vm.node = std::make_unique<node::Node>(vm.nodeThread->loop(), settings);
+        vm.node->start();
+        vm.entrance = vm.node->entranceAddress();
+        nested = vm.node->nestedAddress();
+        if (this->firstControl.empty()) {
+            this->firstControl = vm.node->controlAddress().toString();
+        }
+    });
+    vm.upstreamThread->call([&] { vm.upstream->setNestedFace(nested); });
+    ++this->started;
+}
+
+void Testbed::startHeldBack()
+{
+    for (auto &vm : this->vms) {
+        for (const auto &service : this->deployment.services) {
+            if (!vm->node && service.name == vm->service) {
+                this->startVm(*vm, service, true);
+            }
+        }
+    }
+}
+
+void Testbed::apply()
+{
+    net::LoopThread operatorThread;
+    std::promise<sync::ApplyResult> done;
+    std::unique_ptr<net::HttpClient> client;
+    std::unique_ptr<platform::HttpObjectStore> store;
+    operatorThread.call([&] {
+        client = std::make_unique<net::HttpClient>(operatorThread.loop());
+        store = std::make_unique<platform::HttpObjectStore>(*client, this->platformAddress.toString(), platformTimeout);
+        sync::ApplyRequest request;
+        request.files = benchFiles(this->deployment, this->options);
+        request.appliedBy = "bench";
+        request.applyId = "bench";
+        sync::ApplyProcess::start(*store, request, [&done](const sync::ApplyResult &result) { done.set_value(result); });
+    });
+    const auto result = done.get_future().get();
+    operatorThread.call([&] {
+        store.reset();
+        client.reset();
+    });
+    if (result.kind != core::ErrorKind::None) {
+        throw std::runtime_error("the bench's files were not accepted: " + result.message);
+    }
+}
+
+bool Testbed::isSettled()
+{
+    for (auto &vm : this->vms) {
+        if (!vm->node) {
+            continue;
+        }
+        const bool isReady = vm->nodeThread->call([&] {
+            const auto &board = vm->node->board();
+            const bool hasConfig = board.config.read().current && board.config.read().current->revision > 0;
+            return hasConfig && board.membership.read().members.size() + 1 == this->started;
+        });
+        if (!isReady) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void Testbed::settle()
+{
+    this->apply();
+    const auto deadline = std::chrono::steady_clock::now() + settleTime;
+    while (!this->isSettled()) {
+        if (std::chrono::steady_clock::now() > deadline) {
+            throw std::runtime_error("the nodes did not find each other in 20 s");
+        }
+        std::this_thread::sleep_for(settlePoll);
+    }
+}
+
+void Testbed::setSlowness(const std::string &service, double factor)
+{
+    for (auto &vm : this->vms) {
+        if (vm->service == service && vm->upstream) {
+            vm->upstreamThread->loop().post([upstream = vm->upstream.get(), factor] { upstream->setSlowness(factor); });
+        }
+    }
+}
+
+std::vector<net::Address> Testbed::entrances() const
+{
+    std::vector<net::Address> addresses;
+    for (const auto &vm : this->vms) {
+        if (vm->node) {
+            addresses.push_back(vm->entrance);
+        }
+    }
+    return addresses;
+}
+
+net::Address Testbed::upstreamOf(const std::string &service) const
+{
+    for (const auto &vm : this->vms) {
+        if (vm->service == service) {
+            return vm->upstreamAddress;
+        }
+    }
+    throw std::runtime_error("no such service: " + service);
+}
+
+standin::RunLog &Testbed::log() noexcept
+{
+    return this->runLog;
+}
+
+std::uint64_t Testbed::controlBytes()
+{
+    std::uint64_t bytes = 0;
+    for (auto &vm : this->vms) {
+        if (vm->node) {
+            bytes += vm->nodeThread->call([&vm] { return vm->node->controlTraffic().bytesSent; });
+        }
+    }
+    return bytes;
+}
+
+std::size_t Testbed::nodeCount() const noexcept
+{
+    return this->started;
+}
+}
--- /dev/null
+++ b/src/board/endpoint.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/time.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace figpulley::board
+{
+/// One endpoint of a service, as membership knows it.
+struct Endpoint {
+    core::NodeId node {};
+    core::Incarnation incarnation {};
+    std::string address; ///< ip:port of its node's ingress
+    std::string availabilityZone;
+    core::TimePoint firstSeen {}; ///< when this incarnation was first seen alive here
+    bool isLeaving = false;
+    bool isSuspect = false;
+};
+
+/// Endpoints by service. Writer: MembershipController.
+struct EndpointState {
+    std::map<std::string, std::vector<Endpoint>, std::less<>> byService;
+
+    /// Endpoints of a service; empty if none is known.
+    [[nodiscard]] const std::vector<Endpoint> &forService(std::string_view service) const noexcept
+    {
+        static const std::vector<Endpoint> none;
+        const auto found = this->byService.find(service);
+        return found == this->byService.end() ? none : found->second;
+    }
+};
+}
--- /dev/null
+++ b/src/cli/commandline.cpp
@@ -0,0 +1,90 @@
+#include "cli/command.h"
+#include "cli/commands.h"
+#include "core/error.h"
+
+#include <algorithm>
+#include <array>
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+
+namespace figpulley::cli
+{
+namespace
+{
+constexpr std::array commandTable {
+    Command {"node", "--settings FILE", "run one node beside the upstream of this VM", &runNode},
+    Command {"check", "FILE...", "check operators' files without applying them", &runCheck},
+    Command {"apply", "--platform IP:PORT FILE...", "put a set of files in force as a whole", &runApply},
+    Command {"status", "--node IP:PORT...", "show what is in force and how the services are", &runStatus},
+    Command {"history", "--platform IP:PORT", "show the audit trail of changes", &runHistory},
+    Command {"bench", "--deployment NAME --scenario NAME", "run an experiment on real nodes and stand-ins", &runBench},
+    Command {"demo", "", "show an overload with and without control, in one process", &runDemo},
+    Command {"standin", "platform|upstream", "run a stand-in for the platform or for an upstream", &runStandin},
+    Command {"reference", "", "print the reference of settings, files and error kinds", &runReference},
+    Command {"help", "[COMMAND]", "print this help", &runHelp},
+};
+
+const Command *findCommand(std::string_view name)
+{
+    const auto found = std::find_if(commandTable.begin(), commandTable.end(), [name](const Command &command) { return command.name == name; });
+    return found == commandTable.end() ? nullptr : &*found;
+}
+
+int runGuarded(const Command &command, const std::vector<std::string> &arguments)
+{
+    try {
+        return command.run(arguments);
+    } catch (const cxxopts::exceptions::exception &error) {
+        fmt::print(stderr, "figpulley {}: {}\nusage: figpulley {} {}\n", command.name, error.what(), command.name, command.arguments);
+        return exitUsage;
+    } catch (const std::exception &error) {
+        fmt::print(stderr, "figpulley {}: {}\n", command.name, error.what());
+        return exitFailed;
+    }
+}
+}
+
+std::span<const Command> commands() noexcept
+{
+    return commandTable;
+}
+
+int runHelp(const std::vector<std::string> &arguments)
+{
+    if (!arguments.empty()) {
+        const auto *command = findCommand(arguments.front());
+        if (command == nullptr) {
+            fmt::print(stderr, "figpulley: no command \"{}\"\n", arguments.front());
+            return exitUsage;
+        }
+        return runGuarded(*command, {"--help"});
+    }
+    fmt::print("figpulley keeps service call graphs working under overload.\n\nusage: figpulley COMMAND [OPTIONS]\n\n");
+    for (const auto &command : commandTable) {
+        fmt::print("  {:<10} {}\n", command.name, command.summary);
+    }
+    fmt::print("\n  --version  print the version\n\n`figpulley help COMMAND` tells a command's options.\n"
+               "Exit codes: 0 done, 1 failed or invalid, 2 wrong usage.\n");
+    return exitOk;
+}
+
+int runCommandLine(const std::vector<std::string> &arguments)
+{
+    if (arguments.empty()) {
+        runHelp({});
+        return exitUsage;
+    }
+    if (arguments.front() == "--version") {
+        fmt::print("figpulley {}\n", FIGPULLEY_VERSION);
+        return exitOk;
+    }
+    const bool isHelp = arguments.front() == "--help" || arguments.front() == "-h";
+    const auto *command = findCommand(isHelp ? "help" : arguments.front());
+    if (command == nullptr) {
+        fmt::print(stderr, "figpulley: no command \"{}\"; see figpulley help\n", arguments.front());
+        return exitUsage;
+    }
+    return runGuarded(*command, {arguments.begin() + 1, arguments.end()});
+}
+}
--- /dev/null
+++ b/src/cli/fwd.h
@@ -0,0 +1,8 @@
+#pragma once
+
+/// Forward declarations of the command line.
+namespace figpulley::cli
+{
+struct Command;
+class PlatformSession;
+}
--- /dev/null
+++ b/src/cli/reference.h
@@ -0,0 +1,9 @@
+#pragma once
+
+#include <string>
+
+namespace figpulley::cli
+{
+/// Writes docs/REFERENCE.md from the program's own tables.
+[[nodiscard]] std::string referencePage();
+}
--- /dev/null
+++ b/src/cli/runhistory.cpp
@@ -0,0 +1,107 @@
+#include "cli/command.h"
+#include "cli/commands.h"
+#include "cli/options.h"
+#include "cli/platformsession.h"
+#include "net/address.h"
+#include "sync/manifest.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace figpulley::cli
+{
+namespace
+{
+platform::StoreResult getObject(PlatformSession &session, const std::string &key)
+{
+    return session.wait<platform::StoreResult>([&](platform::ObjectStore &store, auto callback) { store.get(key, callback); });
+}
+
+void printManifest(const sync::Manifest &manifest, std::string_view mark)
+{
+    fmt::print("{}{:<6} {} {:<16} {}{}\n",
+               mark,
+               manifest.revision,
+               manifest.appliedAt,
+               manifest.appliedBy,
+               manifest.summary,
+               manifest.note.empty() ? "" : "  # " + manifest.note);
+}
+
+std::vector<platform::ObjectName> listNames(PlatformSession &session, const std::string &prefix)
+{
+    auto result = session.wait<platform::ListResult>([&](platform::ObjectStore &store, auto callback) { store.list(prefix, callback); });
+    std::reverse(result.names.begin(), result.names.end());
+    return result.names;
+}
+
+void printRefusals(PlatformSession &session, std::size_t limit)
+{
+    std::size_t shown = 0;
+    for (const auto &name : listNames(session, "figpulley/refused/")) {
+        const auto object = getObject(session, name.key);
+        const auto entry = nlohmann::json::parse(object.object.value, nullptr, false);
+        if (!entry.is_object() || shown++ >= limit) {
+            continue;
+        }
+        fmt::print("!{:<6} {} {:<16} {}\n", "", entry.value("applied_at", ""), entry.value("applied_by", ""), entry.value("refused", ""));
+    }
+}
+}
+
+int runHistory(const std::vector<std::string> &arguments)
+{
+    auto options = makeOptions("history", "Shows the audit trail: * in force, ! refused.");
+    options.add_options()("platform", "ip:port of the platform's object API", cxxopts::value<std::string>());
+    options.add_options()("limit", "entries to show", cxxopts::value<std::size_t>()->default_value("20"));
+    options.add_options()("show", "print one revision's manifest and files", cxxopts::value<std::uint64_t>());
+    const auto parsed = parseOptions(options, arguments);
+    if (parsed.count("help") > 0) {
+        fmt::print("{}", options.help());
+        return exitOk;
+    }
+    if (parsed.count("platform") == 0 || !net::parseAddress(parsed["platform"].as<std::string>())) {
+        usageError("--platform ip:port is needed");
+    }
+    PlatformSession session(parsed["platform"].as<std::string>());
+    const auto root = getObject(session, std::string(sync::rootKey));
+    if (root.kind == core::ErrorKind::NotFound) {
+        fmt::print("nothing has been applied yet\n");
+        return exitOk;
+    }
+    const auto present = sync::decodeManifest(root.object.value);
+    if (root.kind != core::ErrorKind::None || !present) {
+        fmt::print(stderr, "figpulley history: the platform does not answer\n");
+        return exitFailed;
+    }
+    if (parsed.count("show") > 0) {
+        const auto revision = parsed["show"].as<std::uint64_t>();
+        const auto object = revision == present->revision ? root : getObject(session, sync::historyKey(revision));
+        const auto manifest = sync::decodeManifest(object.object.value);
+        if (!manifest) {
+            fmt::print(stderr, "figpulley history: no revision {}\n", revision);
+            return exitFailed;
+        }
+        printManifest(*manifest, " ");
+        for (const auto &part : manifest->parts) {
+            fmt::print("\n==> {} <==\n{}", part.name, getObject(session, sync::partKey(part.hash)).object.value);
+        }
+        return exitOk;
+    }
+    const auto limit = parsed["limit"].as<std::size_t>();
+    printManifest(*present, "*");
+    std::size_t shown = 1;
+    for (const auto &name : listNames(session, "figpulley/history/")) {
+        if (shown++ >= limit) {
+            break;
+        }
+        if (const auto manifest = sync::decodeManifest(getObject(session, name.key).object.value)) {
+            printManifest(*manifest, " ");
+        }
+    }
+    printRefusals(session, limit);
+    return exitOk;
+}
+}
--- /dev/null
+++ b/src/config/filekind.cpp
@@ -0,0 +1,27 @@
+#include "config/filekind.h"
+
+#include <array>
+
+namespace figpulley::config
+{
+namespace
+{
+constexpr std::array<std::string_view, 4> names {"overload-policy", "request-priorities", "alert-rules", "metric-mapping"};
+static_assert(names.size() == static_cast<std::size_t>(FileKind::MetricMapping) + 1);
+}
+
+std::string_view name(FileKind kind) noexcept
+{
+    return names[static_cast<std::size_t>(kind)];
+}
+
+std::optional<FileKind> fileKindFromName(std::string_view name) noexcept
+{
+    for (std::size_t index = 0; index < names.size(); ++index) {
+        if (names[index] == name) {
+            return static_cast<FileKind>(index);
+        }
+    }
+    return std::nullopt;
+}
+}
--- /dev/null
+++ b/src/config/limitalgorithm.cpp
@@ -0,0 +1,27 @@
+#include "config/limitalgorithm.h"
+
+#include <array>
+
+namespace figpulley::config
+{
+namespace
+{
+constexpr std::array<std::string_view, 5> names {"probing", "gradient", "aimd", "pid", "fixed"};
+static_assert(names.size() == static_cast<std::size_t>(LimitAlgorithm::Fixed) + 1);
+}
+
+std::string_view name(LimitAlgorithm algorithm) noexcept
+{
+    return names[static_cast<std::size_t>(algorithm)];
+}
+
+std::optional<LimitAlgorithm> limitAlgorithmFromName(std::string_view name) noexcept
+{
+    for (std::size_t index = 0; index < names.size(); ++index) {
+        if (names[index] == name) {
+            return static_cast<LimitAlgorithm>(index);
+        }
+    }
+    return std::nullopt;
+}
+}
--- /dev/null
+++ b/src/config/load.cpp
@@ -0,0 +1,219 @@
+#include "config/load.h"
+
+#include "alerts/rulefile.h"
+#include "alerts/ruleset.h"
+#include "config/filekind.h"
+#include "text/objectreader.h"
+#include "text/parse.h"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <set>
+
+#include <fmt/format.h>
+
+namespace figpulley::config
+{
+namespace
+{
+using text::ObjectReader;
+using text::Problems;
+
+core::Duration milliseconds(std::int64_t count)
+{
+    return std::chrono::milliseconds(count);
+}
+
+// A service's section takes the keys it lacks from the defaults section: both are merged before the table is applied.
+text::Value mergeObjects(const text::Value &base, const text::Value &overlay)
+{
+    auto members = *overlay.as<text::Object>();
+    for (const auto &member : *base.as<text::Object>()) {
+        if (overlay.find(member.key) == nullptr) {
+            members.push_back(member);
+        }
+    }
+    return {overlay.position(), std::move(members)};
+}
+
+ServicePolicy readService(const std::string &file, const text::Value &value, Problems &problems)
+{
+    const ObjectReader reader(file, value, servicePolicySection(), problems);
+    ServicePolicy policy;
+    const auto algorithm = limitAlgorithmFromName(reader.string("limit"));
+    if (algorithm) {
+        policy.limitAlgorithm = *algorithm;
+    } else {
+        reader.report("limit", fmt::format("unknown limit \"{}\"; known: probing, gradient, aimd, pid, fixed", reader.string("limit")));
+    }
+    policy.limitInitial = static_cast<int>(reader.integer("limit_initial"));
+    policy.limitMinimum = static_cast<int>(reader.integer("limit_minimum"));
+    policy.limitMaximum = static_cast<int>(reader.integer("limit_maximum"));
+    if (policy.limitMinimum > policy.limitMaximum) {
+        reader.report("limit_minimum", "\"limit_minimum\" exceeds \"limit_maximum\"");
+    }
+    policy.limitInitial = std::clamp(policy.limitInitial, policy.limitMinimum, std::max(policy.limitMinimum, policy.limitMaximum));
+    policy.queueLength = static_cast<int>(reader.integer("queue_length"));
+    policy.queueDelay = milliseconds(reader.integer("queue_ms"));
+    policy.coldStart = milliseconds(reader.integer("cold_start_ms"));
+    policy.drain = milliseconds(reader.integer("drain_ms"));
+    policy.retryRate = reader.number("retry_rate");
+    policy.retryBurst = static_cast<int>(reader.integer("retry_burst"));
+    policy.outlierFailures = static_cast<int>(reader.integer("outlier_failures"));
+    policy.outlierPause = milliseconds(reader.integer("outlier_pause_ms"));
+    return policy;
+}
+
+void readOverloadPolicy(const std::string &file, const text::Value &root, Configuration &configuration, Problems &problems)
+{
+    const ObjectReader reader(file, root, overloadPolicySection(), problems);
+    const text::Value empty(root.position(), text::Object {});
+    const auto *roots = reader.find("roots");
+    const auto *defaults = reader.find("defaults");
+    const ObjectReader rootReader(file, roots != nullptr ? *roots : empty, rootPolicySection(), problems);
+    auto &policy = configuration.overload;
+    policy.rootRetryBudget = static_cast<int>(rootReader.integer("retry_budget"));
+    policy.rootDeadline = milliseconds(rootReader.integer("deadline_ms"));
+    policy.isEarlySheddingOn = rootReader.boolean("early_shedding");
+    const auto &base = defaults != nullptr ? *defaults : empty;
+    policy.defaults = readService(file, base, problems);
+    for (const auto *member : reader.members("services")) {
+        if (member->value.as<text::Object>() == nullptr) {
+            problems.push_back({file, member->value.position(), fmt::format("service \"{}\" must be an object", member->key)});
+            continue;
+        }
+        policy.services[member->key] = readService(file, mergeObjects(base, member->value), problems);
+    }
+}
+
+Route readRoute(const std::string &file, const text::Value &value, const std::vector<std::string> &levels, Problems &problems)
+{
+    const ObjectReader reader(file, value, routeSection(), problems);
+    Route route;
+    route.name = reader.string("name");
+    route.service = reader.string("service");
+    route.method = reader.string("method");
+    route.pathPrefix = reader.string("path_prefix");
+    route.isIdempotent = reader.boolean("idempotent");
+    if (!route.pathPrefix.starts_with('/')) {
+        reader.report("path_prefix", "\"path_prefix\" must start with '/'");
+    }
+    const auto level = std::find(levels.begin(), levels.end(), reader.string("level"));
+    if (level != levels.end()) {
+        route.level = static_cast<std::uint32_t>(level - levels.begin());
+    } else if (reader.find("level") != nullptr) {
+        const auto guess = text::nearest(reader.string("level"), {levels.begin(), levels.end()});
+        reader.report("level",
+                      fmt::format("\"{}\" is not one of the levels{}", reader.string("level"), guess.empty() ? "" : fmt::format("; did you mean \"{}\"?", guess)));
+    }
+    if (reader.find("deadline_ms") != nullptr) {
+        route.deadline = milliseconds(reader.integer("deadline_ms"));
+    }
+    if (reader.find("retry_budget") != nullptr) {
+        route.retryBudget = static_cast<int>(reader.integer("retry_budget"));
+    }
+    return route;
+}
+
+void readRequestPriorities(const std::string &file, const text::Value &root, Configuration &configuration, Problems &problems)
+{
+    const ObjectReader reader(file, root, requestPrioritiesSection(), problems);
+    auto &priorities = configuration.priorities;
+    priorities.levels = reader.strings("levels");
+    priorities.userHeader = reader.string("user_header");
+    if (std::set<std::string>(priorities.levels.begin(), priorities.levels.end()).size() != priorities.levels.size()) {
+        reader.report("levels", "a level stands twice");
+    }
+    std::set<std::string> names;
+    for (const auto *value : reader.objects("routes")) {
+        auto route = readRoute(file, *value, priorities.levels, problems);
+        if (!route.name.empty() && !names.insert(route.name).second) {
+            problems.push_back({file, value->position(), fmt::format("a route named \"{}\" already exists", route.name)});
+        }
+        priorities.routes.push_back(std::move(route));
+    }
+}
+
+std::optional<FileKind> kindOf(const SourceFile &file, const text::Value &root, Problems &problems)
+{
+    const auto *kind = root.find("kind");
+    const auto *text = kind != nullptr ? kind->as<std::string>() : nullptr;
+    if (text == nullptr) {
+        problems.push_back({file.name, root.position(), "the file lacks \"kind\": overload-policy, request-priorities, alert-rules or metric-mapping"});
+        return std::nullopt;
+    }
+    const auto found = fileKindFromName(*text);
+    if (!found) {
+        problems.push_back({file.name,
+                            kind->position(),
+                            fmt::format("unknown kind \"{}\"; known: overload-policy, request-priorities, alert-rules, metric-mapping", *text)});
+    }
+    return found;
+}
+
+// Policies and priorities are one each, so that no order of files decides which of two wins.
+bool isSingle(FileKind kind)
+{
+    return kind == FileKind::OverloadPolicy || kind == FileKind::RequestPriorities;
+}
+}
+
+std::shared_ptr<Configuration> load(const std::vector<SourceFile> &files, Problems &problems)
+{
+    auto configuration = std::make_shared<Configuration>(*builtInConfiguration());
+    alerts::RuleFileReader ruleReader(problems);
+    std::map<FileKind, std::string> seen;
+    for (const auto &file : files) {
+        const auto root = text::parse(file.name, file.text, problems);
+        if (!root) {
+            continue;
+        }
+        const auto kind = kindOf(file, *root, problems);
+        if (!kind) {
+            continue;
+        }
+        const auto [earlier, isNew] = seen.emplace(*kind, file.name);
+        if (!isNew && isSingle(*kind)) {
+            problems.push_back({file.name, root->position(), fmt::format("{} already is the {} file", earlier->second, name(*kind))});
+            continue;
+        }
+        switch (*kind) {
+        case FileKind::OverloadPolicy:
+            readOverloadPolicy(file.name, *root, *configuration, problems);
+            break;
+        case FileKind::RequestPriorities:
+            configuration->priorities = {};
+            readRequestPriorities(file.name, *root, *configuration, problems);
+            break;
+        case FileKind::AlertRules:
+            ruleReader.addRules(file.name, *root);
+            break;
+        case FileKind::MetricMapping:
+            ruleReader.addMapping(file.name, *root);
+            break;
+        }
+    }
+    configuration->alertRules = ruleReader.finish();
+    if (text::hasErrors(problems)) {
+        return nullptr;
+    }
+    return configuration;
+}
+
+ConfigurationPtr builtInConfiguration()
+{
+    static const ConfigurationPtr builtIn = [] {
+        auto configuration = std::make_shared<Configuration>();
+        Problems problems;
+        const text::Value empty({}, text::Object {});
+        configuration->overload.defaults = readService("built-in", empty, problems);
+        const ObjectReader roots("built-in", empty, rootPolicySection(), problems);
+        configuration->overload.rootRetryBudget = static_cast<int>(roots.integer("retry_budget"));
+        configuration->overload.rootDeadline = milliseconds(roots.integer("deadline_ms"));
+        configuration->alertRules = std::make_shared<alerts::RuleSet>();
+        return configuration;
+    }();
+    return builtIn;
+}
+}
--- /dev/null
+++ b/src/config/sourcefile.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <string>
+
+namespace figpulley::config
+{
+/// One operators' file: its name for messages and its text as written.
+struct SourceFile {
+    std::string name;
+    std::string text;
+};
+}
--- /dev/null
+++ b/src/core/core.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/// Umbrella header of the core module.
+#include "core/envelope.h"
+#include "core/errorkind.h"
+#include "core/fwd.h"
+#include "core/ids.h"
+#include "core/log.h"
+#include "core/random.h"
+#include "core/rank.h"
+#include "core/time.h"
--- /dev/null
+++ b/src/core/envelope.cpp
@@ -0,0 +1,103 @@
+#include "core/envelope.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace figpulley::core
+{
+namespace
+{
+using nlohmann::json;
+
+constexpr int maximumRetryBudget = 1000;
+constexpr std::int64_t maximumRemainingUs = 86'400'000'000;
+
+// Throwing accessors keep the decoders short; the one catch in each decoder turns any defect into "malformed".
+std::uint64_t hexField(const json &object, const char *key)
+{
+    std::uint64_t number = 0;
+    if (!fromHex(object.at(key).get_ref<const std::string &>(), number)) {
+        throw json::other_error::create(0, "not hexadecimal", nullptr);
+    }
+    return number;
+}
+
+std::int64_t boundedField(const json &object, const char *key, std::int64_t largest)
+{
+    const auto &field = object.at(key);
+    if (!field.is_number_integer()) {
+        throw json::other_error::create(0, "not an integer", nullptr);
+    }
+    const auto number = field.get<std::int64_t>();
+    if (number < 0 || number > largest) {
+        throw json::other_error::create(0, "out of range", nullptr);
+    }
+    return number;
+}
+}
+
+std::string encode(const CallEnvelope &envelope)
+{
+    const json object {{"attempt", toHex(value(envelope.attempt))},
+                       {"root", toHex(envelope.root)},
+                       {"service", envelope.service},
+                       {"route", envelope.route},
+                       {"rank", envelope.rank.value()},
+                       {"budget", envelope.retryBudget},
+                       {"remaining_us", envelope.remaining.count()},
+                       {"idempotent", envelope.isIdempotent},
+                       {"target", toHex(value(envelope.target))}};
+    return object.dump();
+}
+
+std::string encode(const CallOutcome &outcome)
+{
+    return fmt::format(R"({{"kind":"{}","ran":"{}","spent":{},"threshold":{},"retry":{}}})",
+                       answerFor(outcome.kind).name,
+                       name(outcome.ran),
+                       outcome.retriesSpent,
+                       outcome.threshold.value(),
+                       outcome.isRetryWorthwhile);
+}
+
+std::optional<CallEnvelope> decodeEnvelope(std::string_view text)
+{
+    try {
+        const auto object = json::parse(text);
+        CallEnvelope envelope;
+        envelope.attempt = AttemptId {hexField(object, "attempt")};
+        envelope.root = hexField(object, "root");
+        envelope.service = object.at("service").get<std::string>();
+        envelope.route = object.at("route").get<std::string>();
+        envelope.rank = Rank(static_cast<std::uint32_t>(boundedField(object, "rank", Rank::end)));
+        envelope.retryBudget = static_cast<int>(boundedField(object, "budget", maximumRetryBudget));
+        envelope.remaining = Duration(boundedField(object, "remaining_us", maximumRemainingUs));
+        envelope.isIdempotent = object.at("idempotent").get<bool>();
+        envelope.target = Incarnation {hexField(object, "target")};
+        return envelope;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+std::optional<CallOutcome> decodeOutcome(std::string_view text)
+{
+    try {
+        const auto object = json::parse(text);
+        const auto kind = errorKindFromName(object.at("kind").get_ref<const std::string &>());
+        if (!kind) {
+            return std::nullopt;
+        }
+        CallOutcome outcome;
+        outcome.kind = *kind;
+        const auto &ran = object.at("ran").get_ref<const std::string &>();
+        outcome.ran = ran == name(Ran::No) ? Ran::No : ran == name(Ran::Yes) ? Ran::Yes : Ran::Unknown;
+        outcome.retriesSpent = static_cast<int>(boundedField(object, "spent", maximumRetryBudget));
+        outcome.threshold = Rank(static_cast<std::uint32_t>(boundedField(object, "threshold", Rank::end)));
+        outcome.isRetryWorthwhile = object.at("retry").get<bool>();
+        return outcome;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+}
--- /dev/null
+++ b/src/core/random.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+
+namespace figpulley::core
+{
+/// Source of randomness; always passed in, so that a seed repeats every decision.
+using Random = std::mt19937_64;
+
+/// Draws a number in [0, 1).
+[[nodiscard]] inline double uniform(Random &random)
+{
+    return std::uniform_real_distribution<double>(0.0, 1.0)(random);
+}
+
+/// Draws an index below `size`.
+/// @param size at least 1
+[[nodiscard]] inline std::size_t index(Random &random, std::size_t size)
+{
+    return std::uniform_int_distribution<std::size_t>(0, size - 1)(random);
+}
+}
--- /dev/null
+++ b/src/core/time.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace figpulley::core
+{
+/// Resolution of every duration that a decision reads.
+using Duration = std::chrono::microseconds;
+
+/// An instant on a monotonic clock. Decisions receive it as a parameter, so tests supply virtual time.
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+/// Converts a duration to fractional seconds.
+/// @param duration any duration
+/// @returns seconds
+[[nodiscard]] constexpr double toSeconds(Duration duration) noexcept
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+/// Converts a duration to whole milliseconds, rounded down.
+[[nodiscard]] constexpr std::int64_t toMilliseconds(Duration duration) noexcept
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+/// Reads the monotonic clock. Only adapters call it.
+[[nodiscard]] inline TimePoint steadyNow() noexcept
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+}
--- /dev/null
+++ b/src/decide/callcontroller.cpp
@@ -0,0 +1,303 @@
+#include "decide/callcontroller.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+
+namespace figpulley::decide
+{
+namespace
+{
+using namespace std::chrono_literals;
+using board::Blackboard;
+using board::CallState;
+using core::CallId;
+using core::CallOutcome;
+using core::Duration;
+using core::ErrorKind;
+using core::Ran;
+using core::TimePoint;
+
+constexpr Duration hopAllowance = 500us; // kept back on each hop, so that the callee gives up first
+constexpr Duration shortestUsefulTime = 1ms;
+constexpr std::array<std::string_view, 3> safeMethods {"GET", "HEAD", "OPTIONS"};
+
+bool isSafeMethod(std::string_view method)
+{
+    return std::find(safeMethods.begin(), safeMethods.end(), method) != safeMethods.end();
+}
+
+CallOutcome refusal(ErrorKind kind)
+{
+    CallOutcome outcome;
+    outcome.kind = kind;
+    outcome.ran = core::answerFor(kind).ran;
+    return outcome;
+}
+
+int budgetLeft(const Blackboard &board, const CallState &call)
+{
+    if (!call.parent) {
+        return call.ownBudget;
+    }
+    const auto &entries = board.ledger.read().entries;
+    const auto found = entries.find(core::value(*call.parent));
+    return found == entries.end() ? 0 : found->second.budgetLeft;
+}
+
+CallState &stateOf(board::CallTable &table, CallId id)
+{
+    return table.calls.at(core::value(id));
+}
+
+void limitDeadline(CallState &call, const CallRequest &request, TimePoint now)
+{
+    if (request.timeout) {
+        call.deadline = std::min(call.deadline, now + *request.timeout);
+    }
+}
+}
+
+std::optional<core::EntryId> CallController::findParent(const Blackboard &board, const CallRequest &request) const
+{
+    if (!request.isNested) {
+        return std::nullopt;
+    }
+    if (request.parent && this->ledger.find(board, *request.parent) != nullptr) {
+        return request.parent;
+    }
+    return this->ledger.findByTrace(board, request.traceLow);
+}
+
+// A root call, or a nested one whose parent is not known: the latter gets no retry, since its root's budget is not known either.
+std::optional<CallState> CallController::admitRoot(const Blackboard &board, const CallRequest &request, TimePoint now, core::Random &random) const
+{
+    const auto &configuration = *board.config.read().current;
+    const auto *route = configuration.priorities.match(request.service, request.method, request.path);
+    if (route == nullptr && !request.isNested) {
+        return std::nullopt;
+    }
+    CallState call;
+    call.service = request.service;
+    call.root = random();
+    call.isNested = request.isNested;
+    call.isIdempotent = route != nullptr ? route->isIdempotent : isSafeMethod(request.method);
+    call.route = route != nullptr ? route->name : request.service;
+    call.rank = core::Rank::of(route != nullptr ? route->level : 0, request.user);
+    const auto limit = route != nullptr && route->deadline ? *route->deadline : configuration.overload.rootDeadline;
+    call.deadline = now + limit;
+    if (!request.isNested) {
+        call.ownBudget = route->retryBudget.value_or(configuration.overload.rootRetryBudget);
+    }
+    return call;
+}
+
+CallState CallController::adoptNested(const Blackboard &board,
+                                      const CallRequest &request,
+                                      const board::LedgerEntry &entry,
+                                      core::EntryId parent) const
+{
+    const auto *route = board.config.read().current->priorities.match(request.service, request.method, request.path);
+    CallState call;
+    call.service = request.service;
+    call.route = entry.envelope.route;
+    call.root = entry.envelope.root;
+    call.rank = entry.envelope.rank;
+    call.deadline = entry.deadline;
+    call.isIdempotent = route != nullptr ? route->isIdempotent : isSafeMethod(request.method);
+    call.isNested = true;
+    call.parent = parent;
+    return call;
+}
+
+CallStep CallController::begin(Blackboard &board, CallId id, const CallRequest &request, TimePoint now, core::Random &random) const
+{
+    const auto parent = this->findParent(board, request);
+    std::optional<CallState> call;
+    if (parent) {
+        call = this->adoptNested(board, request, *this->ledger.find(board, *parent), *parent);
+        this->ledger.nestedStarted(board, *parent, now);
+    } else {
+        call = this->admitRoot(board, request, now, random);
+    }
+    if (!call) {
+        return FinishCall {refusal(ErrorKind::NoRoute)};
+    }
+    limitDeadline(*call, request, now);
+    const auto &stored = board.calls.write().calls.emplace(core::value(id), std::move(*call)).first->second;
+    const bool isStopping = !request.isNested && board.drain.read().stopRequested;
+    if (isStopping) {
+        return this->finish(board, id, refusal(ErrorKind::Draining), now);
+    }
+    const bool isSheddingOn = board.config.read().current->overload.isEarlySheddingOn;
+    if (isSheddingOn && this->shedder.isShed(board, stored.route, stored.service, stored.rank, now)) {
+        auto outcome = refusal(ErrorKind::ShedEarly);
+        outcome.threshold = this->shedder.threshold(board, stored.route, stored.service, now);
+        return this->finish(board, id, outcome, now);
+    }
+    return this->send(board, id, now, random);
+}
+
+CallStep CallController::send(Blackboard &board, CallId id, TimePoint now, core::Random &random) const
+{
+    auto &call = stateOf(board.calls.write(), id);
+    if (call.deadline - now < shortestUsefulTime) {
+        return this->finish(board, id, refusal(ErrorKind::DeadlineExpired), now);
+    }
+    const auto *endpoint = this->chooser.choose(board, call.service, call.rank, call.tried, now, random);
+    if (endpoint == nullptr && !call.tried.empty()) {
+        // Every endpoint was tried once: the last resort is to try one of them again.
+        call.tried.clear();
+        endpoint = this->chooser.choose(board, call.service, call.rank, call.tried, now, random);
+    }
+    if (endpoint == nullptr) {
+        return this->finish(board, id, refusal(ErrorKind::NoEndpoint), now);
+    }
+    this->chooser.sent(board, *endpoint);
+    ++call.attempts;
+    call.attempt = core::AttemptId {random()};
+    call.node = endpoint->node;
+    call.lent = this->lend(board, call);
+    call.sentAt = now;
+    call.isInFlight = true;
+    call.tried.push_back(endpoint->node);
+
+    SendAttempt step;
+    step.envelope.attempt = call.attempt;
+    step.envelope.root = call.root;
+    step.envelope.service = call.service;
+    step.envelope.route = call.route;
+    step.envelope.rank = call.rank;
+    step.envelope.retryBudget = call.lent;
+    step.envelope.remaining = std::max(Duration {1}, call.deadline - now - hopAllowance);
+    step.envelope.isIdempotent = call.isIdempotent;
+    step.envelope.target = endpoint->incarnation;
+    step.node = endpoint->node;
+    step.address = endpoint->address;
+    step.deadline = call.deadline;
+    return step;
+}
+
+int CallController::lend(Blackboard &board, CallState &call) const
+{
+    if (call.parent) {
+        return this->ledger.lend(board, *call.parent);
+    }
+    return std::exchange(call.ownBudget, 0);
+}
+
+bool CallController::drawRetry(Blackboard &board, CallState &call) const
+{
+    if (call.parent) {
+        return this->ledger.draw(board, *call.parent);
+    }
+    if (call.ownBudget <= 0) {
+        return false;
+    }
+    --call.ownBudget;
+    return true;
+}
+
+// Without a report from the callee, all that was lent has to be taken as spent.
+void CallController::settle(Blackboard &board, CallState &call, const std::optional<CallOutcome> &outcome) const
+{
+    const auto spent = outcome ? std::min(outcome->retriesSpent, call.lent) : call.lent;
+    const auto unspent = call.lent - spent;
+    call.spent += spent;
+    call.lent = 0;
+    call.isInFlight = false;
+    if (call.parent) {
+        this->ledger.giveBack(board, *call.parent, unspent);
+    } else {
+        call.ownBudget += unspent;
+    }
+}
+
+bool CallController::mayRetry(Blackboard &board, const CallState &call, ErrorKind kind, const CallOutcome &outcome, TimePoint now) const
+{
+    const bool isSafe = outcome.ran == Ran::No || call.isIdempotent;
+    if (!isSafe || !outcome.isRetryWorthwhile || budgetLeft(board, call) <= 0) {
+        return false;
+    }
+    if (call.deadline - now < shortestUsefulTime) {
+        return false;
+    }
+    const bool isFullEndpoint = kind == ErrorKind::Overloaded || kind == ErrorKind::None;
+    const bool needsOther = isFullEndpoint || kind == ErrorKind::Draining;
+    return !needsOther || this->chooser.hasOther(board, call.service, call.rank, call.tried, now);
+}
+
+CallStep CallController::attemptEnded(Blackboard &board, CallId id, const AttemptResult &result, core::Random &random) const
+{
+    auto &call = stateOf(board.calls.write(), id);
+    const auto now = result.now;
+    CallOutcome outcome;
+    if (result.outcome) {
+        outcome = *result.outcome;
+        this->shedder.learn(board, call.route, call.service, outcome.threshold, now);
+    } else {
+        outcome = refusal(result.kind);
+        outcome.isRetryWorthwhile = core::answerFor(result.kind).retryable;
+    }
+    this->settle(board, call, result.outcome);
+    const EndpointReport report {
+        .kind = outcome.kind,
+        .latency = now - call.sentAt,
+        .hasThreshold = result.outcome.has_value(),
+        .threshold = outcome.threshold,
+    };
+    this->chooser.ended(board, call.service, call.node, report, now);
+    if (outcome.ran != Ran::No) {
+        call.earlierAttempts = Ran::Unknown;
+    }
+    const bool isRetried = this->mayRetry(board, call, outcome.kind, outcome, now) && this->retries.take(board, call.service, now) && this->drawRetry(board, call);
+    if (!isRetried) {
+        return this->finish(board, id, outcome, now);
+    }
+    ++call.spent;
+    const bool isOtherEndpointAtOnce = outcome.kind == ErrorKind::Draining || outcome.kind == ErrorKind::ConnectFailed;
+    if (isOtherEndpointAtOnce) {
+        return this->send(board, id, now, random);
+    }
+    return WaitBeforeRetry {RetryController::backoff(call.attempts, random)};
+}
+
+CallStep CallController::retryDue(Blackboard &board, CallId id, TimePoint now, core::Random &random) const
+{
+    return this->send(board, id, now, random);
+}
+
+CallOutcome CallController::abandon(Blackboard &board, CallId id, ErrorKind kind, TimePoint now) const
+{
+    auto &call = stateOf(board.calls.write(), id);
+    if (call.isInFlight) {
+        this->settle(board, call, std::nullopt);
+        EndpointReport report;
+        report.kind = ErrorKind::Cancelled;
+        this->chooser.ended(board, call.service, call.node, report, now);
+        call.earlierAttempts = Ran::Unknown;
+    }
+    const auto step = this->finish(board, id, refusal(kind), now);
+    return std::get<FinishCall>(step).outcome;
+}
+
+CallStep CallController::finish(Blackboard &board, CallId id, CallOutcome outcome, TimePoint now) const
+{
+    auto &table = board.calls.write();
+    const auto &call = stateOf(table, id);
+    // A refusal of the last attempt does not undo an earlier attempt that may have run.
+    if (outcome.ran == Ran::No && call.earlierAttempts != Ran::No) {
+        outcome.ran = Ran::Unknown;
+    }
+    outcome.retriesSpent = call.spent;
+    // Whether a retry helps was decided here; levels above must not decide it again.
+    outcome.isRetryWorthwhile = false;
+    if (call.parent) {
+        const auto threshold = std::max(outcome.threshold, this->shedder.threshold(board, call.route, call.service, now));
+        const bool isRefused = outcome.kind != ErrorKind::None;
+        this->ledger.nestedEnded(board, *call.parent, threshold, isRefused, now);
+    }
+    table.calls.erase(core::value(id));
+    return FinishCall {outcome};
+}
+}
--- /dev/null
+++ b/src/decide/ingresscontroller.cpp
@@ -0,0 +1,133 @@
+#include "decide/ingresscontroller.h"
+
+#include <algorithm>
+
+namespace figpulley::decide
+{
+namespace
+{
+using board::Blackboard;
+using core::CallOutcome;
+using core::EntryId;
+using core::ErrorKind;
+using core::Ran;
+using core::TimePoint;
+
+constexpr int httpServiceUnavailable = 503;
+}
+
+// Nothing has been handed to the upstream when these refuse, but a copy of the attempt may have run before.
+ErrorKind IngressController::checkAttempt(Blackboard &board, const core::CallEnvelope &envelope, TimePoint now) const
+{
+    if (board.drain.read().isLeaving()) {
+        return ErrorKind::Draining;
+    }
+    if (envelope.remaining.count() <= 0) {
+        return ErrorKind::DeadlineExpired;
+    }
+    if (envelope.isIdempotent) {
+        return ErrorKind::None;
+    }
+    if (envelope.target != board.identity.incarnation) {
+        return ErrorKind::StaleIncarnation;
+    }
+    switch (this->attempts.remember(board, envelope.attempt, now + envelope.remaining, now)) {
+    case AttemptVerdict::New:
+        return ErrorKind::None;
+    case AttemptVerdict::Duplicate:
+        return ErrorKind::DuplicateAttempt;
+    case AttemptVerdict::Full:
+        return ErrorKind::AttemptTableFull;
+    }
+    return ErrorKind::Internal;
+}
+
+std::vector<IngressAction> IngressController::offer(Blackboard &board, const IngressArrival &arrival, TimePoint now) const
+{
+    this->ledger.open(board, arrival.entry, arrival.envelope, arrival.traceLow, now);
+    const auto defect = this->checkAttempt(board, arrival.envelope, now);
+    if (defect != ErrorKind::None) {
+        return {{arrival.entry, Admission::Refuse, defect}};
+    }
+    const board::QueuedCall call {
+        .entry = arrival.entry,
+        .rank = arrival.envelope.rank,
+        .arrived = now,
+        .deadline = now + arrival.envelope.remaining,
+    };
+    const auto result = this->admission.offer(board, call);
+    const auto refusal = result.admission == Admission::Refuse ? ErrorKind::Overloaded : ErrorKind::None;
+    std::vector<IngressAction> actions {{arrival.entry, result.admission, refusal}};
+    if (result.admission == Admission::Run) {
+        this->ledger.markRunning(board, arrival.entry);
+    }
+    const auto others = this->toActions(board, result.released);
+    actions.insert(actions.end(), others.begin(), others.end());
+    return actions;
+}
+
+std::vector<IngressAction> IngressController::toActions(Blackboard &board, const std::vector<QueueRelease> &released) const
+{
+    std::vector<IngressAction> actions;
+    actions.reserve(released.size());
+    for (const auto &release : released) {
+        const bool isRun = release.refusal == ErrorKind::None;
+        if (isRun) {
+            this->ledger.markRunning(board, release.entry);
+        }
+        actions.push_back({release.entry, isRun ? Admission::Run : Admission::Refuse, release.refusal});
+    }
+    return actions;
+}
+
+std::vector<IngressAction> IngressController::finish(Blackboard &board,
+                                                     EntryId entry,
+                                                     const UpstreamResult &result,
+                                                     TimePoint now,
+                                                     CallOutcome &outcome) const
+{
+    const auto *found = this->ledger.find(board, entry);
+    RunResult run;
+    run.isSample = result.kind == ErrorKind::None;
+    outcome.kind = result.kind;
+    outcome.ran = core::answerFor(result.kind).ran;
+    outcome.threshold = board.admission.read().threshold;
+    if (found != nullptr) {
+        run.latency = Ledger::selfTime(*found, result.started, now);
+        outcome.threshold = std::max(outcome.threshold, found->nestedThreshold);
+        // An upstream that answers 503 because a nested call was refused is not itself short of capacity.
+        const bool isOwnOverload = result.httpStatus == httpServiceUnavailable && !found->hasNestedRefusal;
+        run.isOverloadAnswer = isOwnOverload;
+        outcome.isRetryWorthwhile = isOwnOverload || (result.kind != ErrorKind::None && core::answerFor(result.kind).retryable);
+    }
+    auto released = this->admission.finish(board, run, now);
+    outcome.retriesSpent = this->ledger.close(board, entry);
+    return this->toActions(board, released);
+}
+
+CallOutcome IngressController::refuse(Blackboard &board, EntryId entry, ErrorKind kind) const
+{
+    CallOutcome outcome;
+    outcome.kind = kind;
+    outcome.ran = core::answerFor(kind).ran;
+    outcome.threshold = board.admission.read().threshold;
+    outcome.isRetryWorthwhile = core::answerFor(kind).retryable;
+    outcome.retriesSpent = this->ledger.close(board, entry);
+    return outcome;
+}
+
+void IngressController::cancelWaiting(Blackboard &board, EntryId entry) const
+{
+    const auto *found = this->ledger.find(board, entry);
+    if (found == nullptr) {
+        return;
+    }
+    this->admission.abandon(board, entry, found->envelope.rank);
+    this->ledger.close(board, entry);
+}
+
+std::vector<IngressAction> IngressController::tick(Blackboard &board, TimePoint now) const
+{
+    return this->toActions(board, this->admission.tick(board, now));
+}
+}
--- /dev/null
+++ b/src/decide/limit/aimdlimit.cpp
@@ -0,0 +1,26 @@
+#include "decide/limit/aimdlimit.h"
+
+#include <algorithm>
+
+namespace figpulley::decide
+{
+namespace
+{
+constexpr double latencyTolerance = 1.5; // ratio to the baseline that counts as congestion
+constexpr double decrease = 0.9;
+constexpr double saturationToGrow = 0.2;
+}
+
+double AimdLimit::next(board::LimitState &state, const LimitWindow &window, const config::ServicePolicy & /*policy*/) const
+{
+    state.baseline = state.baseline == 0 ? window.latency : std::min(state.baseline, window.latency);
+    const bool isCongested = window.overloadAnswers > 0 || window.latency > state.baseline * latencyTolerance;
+    if (isCongested) {
+        return state.limit * decrease;
+    }
+    if (window.saturation > saturationToGrow) {
+        return state.limit + 1;
+    }
+    return state.limit;
+}
+}
--- /dev/null
+++ b/src/decide/limit/fixedlimit.cpp
@@ -0,0 +1,9 @@
+#include "decide/limit/fixedlimit.h"
+
+namespace figpulley::decide
+{
+double FixedLimit::next(board::LimitState & /*state*/, const LimitWindow & /*window*/, const config::ServicePolicy &policy) const
+{
+    return policy.limitInitial;
+}
+}
--- /dev/null
+++ b/src/decide/limit/pidlimit.cpp
@@ -0,0 +1,31 @@
+#include "decide/limit/pidlimit.h"
+
+#include <algorithm>
+
+namespace figpulley::decide
+{
+namespace
+{
+constexpr double latencySetpoint = 1.3; // ratio to the baseline
+constexpr double proportionalGain = 0.2;
+constexpr double integralGain = 0.02;
+constexpr double derivativeGain = 0.05;
+constexpr double integralBound = 2.0;
+constexpr double largestStep = 0.3; // share of the limit
+}
+
+double PidLimit::next(board::LimitState &state, const LimitWindow &window, const config::ServicePolicy & /*policy*/) const
+{
+    state.baseline = state.baseline == 0 ? window.latency : std::min(state.baseline, window.latency);
+    const auto error = latencySetpoint - window.latency / state.baseline;
+    const bool isUnused = window.concurrency < state.limit / 2;
+    if (error > 0 && isUnused) {
+        return state.limit;
+    }
+    state.integral = std::clamp(state.integral + error, -integralBound, integralBound);
+    const auto derivative = error - state.lastError;
+    state.lastError = error;
+    const auto step = proportionalGain * error + integralGain * state.integral + derivativeGain * derivative;
+    return state.limit * (1 + std::clamp(step, -largestStep, largestStep));
+}
+}
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,12 @@
+#include "cli/command.h"
+
+#include <ace/Init_ACE.h>
+
+/// Entry point: hands the arguments to the command line.
+int main(int argc, char **argv)
+{
+    ACE::init();
+    const int code = figpulley::cli::runCommandLine({argv + 1, argv + argc});
+    ACE::fini();
+    return code;
+}
--- /dev/null
+++ b/src/members/swim.cpp
@@ -0,0 +1,641 @@
+#include "members/swim.h"
+
+#include "members/rendezvous.h"
+#include "members/zonedigest.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <xxhash.h>
+
+namespace figpulley::members
+{
+namespace
+{
+using board::Blackboard;
+using board::MembershipState;
+using core::TimePoint;
+
+constexpr std::size_t probeMemory = 8; // results that decide about isolation
+constexpr std::size_t resultsToJudge = 4;
+constexpr double isolationShare = 0.5; // of failed probes
+constexpr int spreadFactor = 3; // sends of one announcement, times the logarithm of the zone's size
+constexpr int smallestSpread = 4;
+constexpr std::size_t messageOverhead = 160;
+constexpr core::Duration pullTimeout = std::chrono::milliseconds(500);
+
+bool isLive(const Member &member)
+{
+    return member.announcement.claim != Claim::Dead;
+}
+}
+
+Swim::Swim(SwimOptions options)
+    : options(std::move(options))
+{
+}
+
+void Swim::start(Blackboard &board, TimePoint now) const
+{
+    auto &state = board.membership.write();
+    const auto &identity = board.identity;
+    state.self.node = identity.id;
+    state.self.controlAddress = identity.controlAddress;
+    state.self.ingressAddress = identity.ingressAddress;
+    state.self.service = identity.service;
+    state.self.availabilityZone = identity.availabilityZone;
+    state.self.incarnation = identity.incarnation;
+    state.nextProbe = now;
+    state.nextGossip = now;
+    state.nextExchange = now;
+    state.nextJoin = now;
+    state.generation = 1;
+    this->spread(state, identity.id);
+}
+
+void Swim::addSeeds(const std::vector<std::string> &addresses)
+{
+    for (const auto &address : addresses) {
+        if (std::find(this->options.seeds.begin(), this->options.seeds.end(), address) == this->options.seeds.end()) {
+            this->options.seeds.push_back(address);
+        }
+    }
+}
+
+std::vector<std::uint64_t> Swim::liveNodes(const MembershipState &state, std::string_view zone) const
+{
+    std::vector<std::uint64_t> nodes;
+    for (const auto &[id, member] : state.members) {
+        if (isLive(member) && member.announcement.availabilityZone == zone) {
+            nodes.push_back(id);
+        }
+    }
+    // The map's order differs between runs of the standard library; a sorted one makes a seed repeat a run.
+    std::sort(nodes.begin(), nodes.end());
+    return nodes;
+}
+
+bool Swim::holdsRole(const Blackboard &board, std::string_view role, std::size_t count) const
+{
+    const auto &state = board.membership.read();
+    std::vector<core::NodeId> candidates {state.self.node};
+    for (const auto id : this->liveNodes(state, state.self.availabilityZone)) {
+        const auto &member = state.members.at(id);
+        if (member.announcement.claim == Claim::Alive && !member.announcement.isLeaving) {
+            candidates.push_back(core::NodeId {id});
+        }
+    }
+    const auto order = rendezvousOrder(role, candidates, count);
+    return std::find(order.begin(), order.end(), state.self.node) != order.end();
+}
+
+void Swim::spread(MembershipState &state, core::NodeId node) const
+{
+    const auto zoneSize = state.zones[state.self.availabilityZone].count + 2.0;
+    const auto sends = std::max(smallestSpread, static_cast<int>(std::ceil(spreadFactor * std::log2(zoneSize) / 2)));
+    std::erase_if(state.gossip, [node](const board::PendingGossip &pending) { return pending.node == core::value(node); });
+    state.gossip.push_front({core::value(node), sends});
+}
+
+// Somebody claims something about this node that is not so, or remembers a later life of this address than the present one.
+void Swim::refute(Blackboard &board, const Announcement &claim) const
+{
+    auto &state = board.membership.write();
+    if (!isNewer(claim, state.self)) {
+        return;
+    }
+    if (claim.incarnation > state.self.incarnation) {
+        state.self.incarnation = core::Incarnation {core::value(claim.incarnation) + 1};
+        state.self.version = 0;
+        board.identity.incarnation = state.self.incarnation;
+    } else {
+        state.self.version = claim.version + 1;
+    }
+    this->spread(state, state.self.node);
+}
+
+void Swim::merge(Blackboard &board, const Announcement &announcement, TimePoint now) const
+{
+    auto &state = board.membership.write();
+    if (announcement.node == state.self.node) {
+        this->refute(board, announcement);
+        return;
+    }
+    const auto id = core::value(announcement.node);
+    const auto found = state.members.find(id);
+    if (found == state.members.end()) {
+        if (announcement.claim == Claim::Dead) {
+            return;
+        }
+        state.members.emplace(id, Member {announcement, now, now});
+        addToDigest(state, announcement);
+        ++state.generation;
+        this->spread(state, announcement.node);
+        return;
+    }
+    auto &member = found->second;
+    if (!isNewer(announcement, member.announcement)) {
+        return;
+    }
+    removeFromDigest(state, member.announcement);
+    const bool isNewLife = announcement.incarnation != member.announcement.incarnation;
+    const bool isRevived = member.announcement.claim == Claim::Dead && announcement.claim == Claim::Alive;
+    if (isNewLife || isRevived) {
+        member.firstAlive = now;
+    }
+    if (announcement.claim != member.announcement.claim) {
+        member.claimSince = now;
+    }
+    member.announcement = announcement;
+    addToDigest(state, announcement);
+    ++state.generation;
+    this->spread(state, announcement.node);
+}
+
+void Swim::noteZone(MembershipState &state, const SwimMessage &message, TimePoint now) const
+{
+    state.zones[message.senderZone].heardAt = now;
+}
+
+SwimMessage Swim::compose(const Blackboard &board, SwimKind kind) const
+{
+    const auto &state = board.membership.read();
+    SwimMessage message;
+    message.kind = kind;
+    message.sender = state.self.controlAddress;
+    message.senderZone = state.self.availabilityZone;
+    const auto &current = board.config.read().current;
+    message.configRevision = current ? current->revision : 0;
+    return message;
+}
+
+// News rides on every message; each piece is sent a bounded number of times.
+void Swim::fill(MembershipState &state, SwimMessage &message) const
+{
+    auto room = static_cast<std::ptrdiff_t>(largestMessage - messageOverhead);
+    for (auto &pending : state.gossip) {
+        const bool isSelf = pending.node == core::value(state.self.node);
+        const auto found = state.members.find(pending.node);
+        if (!isSelf && found == state.members.end()) {
+            pending.sendsLeft = 0;
+            continue;
+        }
+        const auto &announcement = isSelf ? state.self : found->second.announcement;
+        room -= static_cast<std::ptrdiff_t>(encodedSize(announcement));
+        if (room < 0) {
+            break;
+        }
+        message.announcements.push_back(announcement);
+        --pending.sendsLeft;
+    }
+    std::erase_if(state.gossip, [](const board::PendingGossip &pending) { return pending.sendsLeft <= 0; });
+    // The least sent go first next time.
+    std::stable_sort(state.gossip.begin(), state.gossip.end(), [](const auto &left, const auto &right) { return left.sendsLeft > right.sendsLeft; });
+}
+
+void Swim::answerPing(Blackboard &board, const SwimMessage &message, OutgoingList &out) const
+{
+    auto answer = this->compose(board, SwimKind::Ack);
+    answer.sequence = message.sequence;
+    auto &state = board.membership.write();
+    // A node that is not known here, or is believed dead, must learn it from the answer to refute it.
+    const auto found = state.members.find(core::value(nodeIdOf(message.sender)));
+    if (found != state.members.end() && found->second.announcement.claim != Claim::Alive) {
+        answer.announcements.push_back(found->second.announcement);
+    }
+    this->fill(state, answer);
+    out.push_back({message.sender, std::move(answer)});
+}
+
+void Swim::noteProbeResult(MembershipState &state, bool isAnswered, TimePoint now) const
+{
+    state.probeResults.push_back(isAnswered);
+    if (state.probeResults.size() > probeMemory) {
+        state.probeResults.pop_front();
+    }
+    const auto failed = std::count(state.probeResults.begin(), state.probeResults.end(), false);
+    const bool isJudged = state.probeResults.size() >= resultsToJudge;
+    state.isIsolated = isJudged && static_cast<double>(failed) >= isolationShare * static_cast<double>(state.probeResults.size());
+    if (state.isIsolated) {
+        // After the cut, the others get the whole time of suspicion to answer.
+        state.isolatedUntil = now + this->options.suspicion;
+    }
+}
+
+void Swim::takeAck(Blackboard &board, const SwimMessage &message, TimePoint now, OutgoingList &out) const
+{
+    auto &state = board.membership.write();
+    const auto probe = std::find_if(state.probes.begin(), state.probes.end(), [&](const board::Probe &candidate) { return candidate.sequence == message.sequence; });
+    if (probe != state.probes.end()) {
+        this->noteProbeResult(state, true, now);
+        state.probes.erase(probe);
+        return;
+    }
+    const auto relayed =
+        std::find_if(state.relayed.begin(), state.relayed.end(), [&](const board::RelayedPing &candidate) { return candidate.ownSequence == message.sequence; });
+    if (relayed == state.relayed.end()) {
+        return;
+    }
+    auto answer = this->compose(board, SwimKind::Ack);
+    answer.sequence = relayed->askerSequence;
+    out.push_back({relayed->asker, std::move(answer)});
+    state.relayed.erase(relayed);
+}
+
+void Swim::relayPing(Blackboard &board, const SwimMessage &message, TimePoint now, OutgoingList &out) const
+{
+    auto &state = board.membership.write();
+    auto ping = this->compose(board, SwimKind::Ping);
+    ping.sequence = state.nextSequence++;
+    state.relayed.push_back({ping.sequence, message.sequence, message.sender, now});
+    out.push_back({message.subject, std::move(ping)});
+}
+
+OutgoingList Swim::receive(Blackboard &board, const SwimMessage &message, TimePoint now, core::Random & /*random*/) const
+{
+    OutgoingList out;
+    auto &state = board.membership.write();
+    if (message.sender == state.self.controlAddress) {
+        return out;
+    }
+    this->noteZone(state, message, now);
+    for (const auto &announcement : message.announcements) {
+        this->merge(board, announcement, now);
+    }
+    switch (message.kind) {
+    case SwimKind::Ping:
+        this->answerPing(board, message, out);
+        break;
+    case SwimKind::Ack:
+        this->takeAck(board, message, now, out);
+        break;
+    case SwimKind::PingRequest:
+        this->relayPing(board, message, now, out);
+        break;
+    case SwimKind::Gossip:
+        this->compareDigests(board, message, now, out);
+        break;
+    case SwimKind::PullRequest:
+        this->answerPull(board, message, out);
+        break;
+    case SwimKind::PullAnswer:
+        this->continuePull(board, message, now, out);
+        break;
+    }
+    return out;
+}
+
+void Swim::answerPull(Blackboard &board, const SwimMessage &message, OutgoingList &out) const
+{
+    const auto &state = board.membership.read();
+    std::vector<const Announcement *> wanted;
+    const auto select = [&](const Announcement &announcement) {
+        const bool isZone = message.zone.empty() || announcement.availabilityZone == message.zone;
+        if (isZone && core::value(announcement.node) > message.cursor) {
+            wanted.push_back(&announcement);
+        }
+    };
+    select(state.self);
+    for (const auto &[id, member] : state.members) {
+        select(member.announcement);
+    }
+    std::sort(wanted.begin(), wanted.end(), [](const Announcement *left, const Announcement *right) { return left->node < right->node; });
+    std::size_t next = 0;
+    for (int page = 0; page < this->options.pullPagesPerRequest; ++page) {
+        auto answer = this->compose(board, SwimKind::PullAnswer);
+        answer.zone = message.zone;
+        answer.cursor = message.cursor;
+        auto room = largestMessage - messageOverhead;
+        while (next < wanted.size() && encodedSize(*wanted[next]) <= room) {
+            room -= encodedSize(*wanted[next]);
+            answer.cursor = core::value(wanted[next]->node);
+            answer.announcements.push_back(*wanted[next]);
+            ++next;
+        }
+        answer.isLastPage = next == wanted.size();
+        // Only the last datagram of a batch asks the other side to go on.
+        answer.sequence = page + 1 == this->options.pullPagesPerRequest || answer.isLastPage ? 1 : 0;
+        const bool isEnd = answer.isLastPage;
+        out.push_back({message.sender, std::move(answer)});
+        if (isEnd) {
+            break;
+        }
+    }
+}
+
+void Swim::sendPull(Blackboard &board, OutgoingList &out, TimePoint now) const
+{
+    auto &state = board.membership.write();
+    auto request = this->compose(board, SwimKind::PullRequest);
+    request.zone = state.pull.zone;
+    request.cursor = state.pull.cursor;
+    // The asker introduces itself, so that a joining node becomes known where it asks.
+    request.announcements.push_back(state.self);
+    state.pull.sentAt = now;
+    out.push_back({state.pull.peer, std::move(request)});
+}
+
+void Swim::continuePull(Blackboard &board, const SwimMessage &message, TimePoint now, OutgoingList &out) const
+{
+    auto &state = board.membership.write();
+    auto &pull = state.pull;
+    if (!pull.isActive || message.sender != pull.peer || message.zone != pull.zone) {
+        return;
+    }
+    state.hasJoined = true;
+    pull.cursor = std::max(pull.cursor, message.cursor);
+    pull.sentAt = now;
+    for (const auto &announcement : message.announcements) {
+        pull.seen.insert(core::value(announcement.node));
+    }
+    if (message.isLastPage) {
+        this->endPull(board, message, now, out);
+    } else if (message.sequence == 1) {
+        this->sendPull(board, out, now);
+    }
+}
+
+// A member of a foreign zone has told all that it knows of its zone: whom it did not name is gone. The own zone is judged by
+// probes instead.
+void Swim::endPull(Blackboard &board, const SwimMessage &message, TimePoint now, OutgoingList &out) const
+{
+    auto &state = board.membership.write();
+    auto &pull = state.pull;
+    const bool isAuthority = !pull.zone.empty() && message.senderZone == pull.zone && pull.zone != state.self.availabilityZone;
+    if (isAuthority) {
+        const auto erased = std::erase_if(state.members, [&](const auto &item) {
+            const auto &announcement = item.second.announcement;
+            const bool isGone = announcement.availabilityZone == pull.zone && !pull.seen.contains(item.first);
+            if (isGone) {
+                removeFromDigest(state, announcement);
+            }
+            return isGone;
+        });
+        state.generation += erased > 0 ? 1 : 0;
+    }
+    if (pull.moreZones.empty()) {
+        pull.isActive = false;
+        return;
+    }
+    pull.zone = pull.moreZones.back();
+    pull.moreZones.pop_back();
+    pull.cursor = 0;
+    pull.seen.clear();
+    this->sendPull(board, out, now);
+}
+
+// Fetches each zone whose fingerprint differs from the sender's, the sender's own zone first.
+void Swim::compareDigests(Blackboard &board, const SwimMessage &message, TimePoint now, OutgoingList &out) const
+{
+    auto &state = board.membership.write();
+    const bool isBusy = state.pull.isActive && now - state.pull.sentAt < pullTimeout;
+    if (isBusy || message.digests.empty()) {
+        return;
+    }
+    const auto own = allDigests(state);
+    board::Pull pull;
+    for (const auto &digest : message.digests) {
+        const bool isSame = std::any_of(own.begin(), own.end(), [&](const ZoneDigest &known) {
+            return known.zone == digest.zone && known.hash == digest.hash && known.count == digest.count;
+        });
+        if (isSame || digest.count == 0) {
+            continue;
+        }
+        const bool isFirst = digest.zone == message.senderZone;
+        pull.moreZones.insert(isFirst ? pull.moreZones.end() : pull.moreZones.begin(), digest.zone);
+    }
+    if (pull.moreZones.empty()) {
+        return;
+    }
+    pull.peer = message.sender;
+    pull.zone = pull.moreZones.back();
+    pull.moreZones.pop_back();
+    pull.isActive = true;
+    state.pull = std::move(pull);
+    this->sendPull(board, out, now);
+}
+
+void Swim::probeNext(Blackboard &board, TimePoint now, core::Random &random, OutgoingList &out) const
+{
+    auto &state = board.membership.write();
+    state.nextProbe = now + this->options.probeInterval;
+    while (true) {
+        if (state.probeOrder.empty()) {
+            state.probeOrder = this->liveNodes(state, state.self.availabilityZone);
+            std::shuffle(state.probeOrder.begin(), state.probeOrder.end(), random);
+        }
+        if (state.probeOrder.empty()) {
+            return;
+        }
+        const auto id = state.probeOrder.back();
+        state.probeOrder.pop_back();
+        const auto found = state.members.find(id);
+        if (found == state.members.end() || !isLive(found->second)) {
+            continue;
+        }
+        auto ping = this->compose(board, SwimKind::Ping);
+        ping.sequence = state.nextSequence++;
+        if (found->second.announcement.claim != Claim::Alive) {
+            ping.announcements.push_back(found->second.announcement);
+        }
+        this->fill(state, ping);
+        state.probes.push_back({ping.sequence, id, now, false});
+        out.push_back({found->second.announcement.controlAddress, std::move(ping)});
+        return;
+    }
+}
+
+void Swim::checkProbes(Blackboard &board, TimePoint now, core::Random &random, OutgoingList &out) const
+{
+    auto &state = board.membership.write();
+    std::vector<std::uint64_t> failed;
+    for (auto &probe : state.probes) {
+        const auto age = now - probe.sentAt;
+        const auto found = state.members.find(probe.node);
+        if (found == state.members.end()) {
+            probe.sequence = 0;
+            continue;
+        }
+        if (age >= this->options.probeDeadline) {
+            failed.push_back(probe.node);
+            probe.sequence = 0;
+            continue;
+        }
+        if (age < this->options.probeTimeout || probe.isIndirect) {
+            continue;
+        }
+        probe.isIndirect = true;
+        auto helpers = this->liveNodes(state, state.self.availabilityZone);
+        std::shuffle(helpers.begin(), helpers.end(), random);
+        int asked = 0;
+        for (const auto helper : helpers) {
+            if (helper == probe.node || asked >= this->options.indirectProbes) {
+                continue;
+            }
+            ++asked;
+            auto request = this->compose(board, SwimKind::PingRequest);
+            request.sequence = probe.sequence;
+            request.subject = found->second.announcement.controlAddress;
+            out.push_back({state.members.at(helper).announcement.controlAddress, std::move(request)});
+        }
+    }
+    std::erase_if(state.probes, [](const board::Probe &probe) { return probe.sequence == 0; });
+    std::erase_if(state.relayed, [&](const board::RelayedPing &ping) { return now - ping.sentAt > this->options.probeDeadline; });
+    for (const auto id : failed) {
+        this->noteProbeResult(state, false, now);
+        auto claim = state.members.at(id).announcement;
+        if (claim.claim == Claim::Alive && !state.isIsolated) {
+            claim.claim = Claim::Suspect;
+            this->merge(board, claim, now);
+        }
+    }
+}
+
+void Swim::expireClaims(Blackboard &board, TimePoint now) const
+{
+    auto &state = board.membership.write();
+    std::vector<Announcement> deaths;
+    std::vector<std::uint64_t> forgotten;
+    const bool mayJudge = !state.isIsolated && now >= state.isolatedUntil;
+    for (auto &[id, member] : state.members) {
+        const auto age = now - member.claimSince;
+        // Each zone judges its own members; a zone that cannot be heard is left as it was.
+        const bool isOwnZone = member.announcement.availabilityZone == state.self.availabilityZone;
+        if (member.announcement.claim == Claim::Suspect && age >= this->options.suspicion && mayJudge && isOwnZone) {
+            deaths.push_back(member.announcement);
+            deaths.back().claim = Claim::Dead;
+        }
+        if (member.announcement.claim == Claim::Dead && age >= this->options.tombstone) {
+            forgotten.push_back(id);
+        }
+    }
+    for (const auto &death : deaths) {
+        this->merge(board, death, now);
+    }
+    for (const auto id : forgotten) {
+        state.members.erase(id);
+    }
+}
+
+void Swim::sendGossip(Blackboard &board, TimePoint now, core::Random &random, OutgoingList &out) const
+{
+    auto &state = board.membership.write();
+    state.nextGossip = now + this->options.gossipInterval;
+    const auto revision = board.config.read().current ? board.config.read().current->revision : 0;
+    if (revision > state.announcedRevision) {
+        state.announcedRevision = revision;
+        state.revisionSendsLeft = smallestSpread + spreadFactor;
+    }
+    if (state.gossip.empty() && state.revisionSendsLeft == 0) {
+        return;
+    }
+    state.revisionSendsLeft = std::max(0, state.revisionSendsLeft - 1);
+    auto targets = this->liveNodes(state, state.self.availabilityZone);
+    std::shuffle(targets.begin(), targets.end(), random);
+    targets.resize(std::min(targets.size(), static_cast<std::size_t>(this->options.gossipFanout)));
+    if (this->holdsRole(board, "bridge", static_cast<std::size_t>(this->options.bridges))) {
+        for (const auto &[zone, view] : state.zones) {
+            const auto others = zone == state.self.availabilityZone ? std::vector<std::uint64_t>() : this->liveNodes(state, zone);
+            if (!others.empty()) {
+                targets.push_back(others[core::index(random, others.size())]);
+            }
+        }
+    }
+    // Every target gets the same news, so it counts as one sending.
+    auto gossip = this->compose(board, SwimKind::Gossip);
+    this->fill(state, gossip);
+    for (const auto id : targets) {
+        out.push_back({state.members.at(id).announcement.controlAddress, gossip});
+    }
+}
+
+// Finds what gossip has missed, a healed partition above all: fingerprints of all zones go to one node elsewhere, or to one
+// of the own zone, in turn.
+void Swim::exchangeZones(Blackboard &board, TimePoint now, core::Random &random, OutgoingList &out) const
+{
+    auto &state = board.membership.write();
+    state.nextExchange = now + this->options.exchangeInterval;
+    const bool isBridge = this->holdsRole(board, "bridge", static_cast<std::size_t>(this->options.bridges));
+    std::vector<std::string> zones {state.self.availabilityZone};
+    if (isBridge) {
+        for (const auto &[zone, view] : state.zones) {
+            if (zone != state.self.availabilityZone && view.count > 0) {
+                zones.push_back(zone);
+            }
+        }
+    }
+    auto digest = this->compose(board, SwimKind::Gossip);
+    digest.digests = allDigests(state);
+    const auto &zone = zones[core::index(random, zones.size())];
+    const auto targets = this->liveNodes(state, zone);
+    if (!targets.empty()) {
+        out.push_back({state.members.at(targets[core::index(random, targets.size())]).announcement.controlAddress, digest});
+    }
+    // A seed that is no member may lead to a part of the zone that was cut off.
+    if (isBridge && !this->options.seeds.empty()) {
+        const auto &seed = this->options.seeds[core::index(random, this->options.seeds.size())];
+        if (seed != state.self.controlAddress && !state.members.contains(core::value(nodeIdOf(seed)))) {
+            digest.announcements.push_back(state.self);
+            out.push_back({seed, std::move(digest)});
+        }
+    }
+}
+
+void Swim::join(Blackboard &board, TimePoint now, core::Random &random, OutgoingList &out) const
+{
+    auto &state = board.membership.write();
+    // Spread over the interval, so that a zone that starts at once does not ask its seeds all together.
+    const auto jitter = core::Duration(static_cast<std::int64_t>(core::uniform(random) * static_cast<double>(this->options.joinInterval.count())));
+    state.nextJoin = now + this->options.joinInterval + jitter;
+    std::vector<std::string> seeds;
+    for (const auto &seed : this->options.seeds) {
+        if (seed != state.self.controlAddress) {
+            seeds.push_back(seed);
+        }
+    }
+    if (seeds.empty()) {
+        state.hasJoined = true;
+        return;
+    }
+    state.pull = {};
+    state.pull.peer = seeds[core::index(random, seeds.size())];
+    state.pull.isActive = true;
+    this->sendPull(board, out, now);
+}
+
+OutgoingList Swim::tick(Blackboard &board, TimePoint now, core::Random &random) const
+{
+    OutgoingList out;
+    const auto &state = board.membership.read();
+    if (!state.hasJoined && now >= state.nextJoin) {
+        this->join(board, now, random, out);
+    }
+    this->checkProbes(board, now, random, out);
+    this->expireClaims(board, now);
+    if (now >= state.nextProbe) {
+        this->probeNext(board, now, random, out);
+    }
+    if (now >= state.nextGossip) {
+        this->sendGossip(board, now, random, out);
+    }
+    if (now >= state.nextExchange) {
+        this->exchangeZones(board, now, random, out);
+    }
+    return out;
+}
+
+OutgoingList Swim::announceLeaving(Blackboard &board, bool isLeaving, TimePoint now, core::Random &random) const
+{
+    auto &state = board.membership.write();
+    OutgoingList out;
+    if (state.self.isLeaving == isLeaving) {
+        return out;
+    }
+    state.self.isLeaving = isLeaving;
+    ++state.self.version;
+    ++state.generation;
+    this->spread(state, state.self.node);
+    this->sendGossip(board, now, random, out);
+    return out;
+}
+}
--- /dev/null
+++ b/src/members/swimmessage.cpp
@@ -0,0 +1,117 @@
+#include "members/swimmessage.h"
+
+#include <nlohmann/json.hpp>
+
+namespace figpulley::members
+{
+namespace
+{
+using nlohmann::json;
+
+constexpr std::size_t announcementOverhead = 40; // numbers and type bytes
+constexpr std::size_t largestCount = 200; // of elements in any array of a message
+
+// Arrays instead of objects: the names would be two thirds of the bytes.
+json toJson(const Announcement &item)
+{
+    return json::array({item.controlAddress,
+                        item.ingressAddress,
+                        item.service,
+                        item.availabilityZone,
+                        core::value(item.incarnation),
+                        item.version,
+                        item.isLeaving,
+                        static_cast<int>(item.claim)});
+}
+
+Announcement announcementFromJson(const json &item)
+{
+    Announcement result;
+    result.controlAddress = item.at(0).get<std::string>();
+    result.ingressAddress = item.at(1).get<std::string>();
+    result.service = item.at(2).get<std::string>();
+    result.availabilityZone = item.at(3).get<std::string>();
+    result.incarnation = core::Incarnation {item.at(4).get<std::uint64_t>()};
+    result.version = item.at(5).get<std::uint32_t>();
+    result.isLeaving = item.at(6).get<bool>();
+    const auto claim = item.at(7).get<unsigned>();
+    if (claim > static_cast<unsigned>(Claim::Dead)) {
+        throw json::other_error::create(0, "unknown claim", nullptr);
+    }
+    result.claim = static_cast<Claim>(claim);
+    result.node = nodeIdOf(result.controlAddress);
+    return result;
+}
+
+void requireBounded(const json &array)
+{
+    if (!array.is_array() || array.size() > largestCount) {
+        throw json::other_error::create(0, "not a bounded array", nullptr);
+    }
+}
+}
+
+std::string encode(const SwimMessage &message)
+{
+    auto announcements = json::array();
+    for (const auto &item : message.announcements) {
+        announcements.push_back(toJson(item));
+    }
+    auto digests = json::array();
+    for (const auto &digest : message.digests) {
+        digests.push_back(json::array({digest.zone, digest.hash, digest.count}));
+    }
+    const auto document = json::array({static_cast<int>(message.kind),
+                                       message.sequence,
+                                       message.subject,
+                                       message.configRevision,
+                                       message.sender,
+                                       message.senderZone,
+                                       message.zone,
+                                       message.cursor,
+                                       message.isLastPage,
+                                       std::move(announcements),
+                                       std::move(digests)});
+    std::string bytes;
+    json::to_msgpack(document, bytes);
+    return bytes;
+}
+
+std::size_t encodedSize(const Announcement &announcement) noexcept
+{
+    return announcementOverhead + announcement.controlAddress.size() + announcement.ingressAddress.size() + announcement.service.size()
+        + announcement.availabilityZone.size();
+}
+
+std::optional<SwimMessage> decodeSwimMessage(std::string_view bytes)
+{
+    try {
+        const auto document = json::from_msgpack(bytes.begin(), bytes.end());
+        SwimMessage message;
+        const auto kind = document.at(0).get<unsigned>();
+        if (kind > static_cast<unsigned>(SwimKind::PullAnswer)) {
+            return std::nullopt;
+        }
+        message.kind = static_cast<SwimKind>(kind);
+        message.sequence = document.at(1).get<std::uint32_t>();
+        message.subject = document.at(2).get<std::string>();
+        message.configRevision = document.at(3).get<std::uint64_t>();
+        message.sender = document.at(4).get<std::string>();
+        message.senderZone = document.at(5).get<std::string>();
+        message.zone = document.at(6).get<std::string>();
+        message.cursor = document.at(7).get<std::uint64_t>();
+        message.isLastPage = document.at(8).get<bool>();
+        requireBounded(document.at(9));
+        for (const auto &item : document.at(9)) {
+            message.announcements.push_back(announcementFromJson(item));
+        }
+        requireBounded(document.at(10));
+        for (const auto &item : document.at(10)) {
+            message.digests.push_back({item.at(0).get<std::string>(), item.at(1).get<std::uint64_t>(), item.at(2).get<std::uint32_t>()});
+        }
+        return message;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+}
--- /dev/null
+++ b/src/net/bodypipe.cpp
@@ -0,0 +1,70 @@
+#include "net/bodypipe.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace figpulley::net
+{
+bool BodyPipe::push(std::string_view bytes)
+{
+    this->buffer.append(bytes);
+    if (this->onReadable) {
+        this->onReadable();
+    }
+    this->wasFull = this->buffer.size() - this->offset >= highWater;
+    return !this->wasFull;
+}
+
+std::size_t BodyPipe::pull(char *target, std::size_t size)
+{
+    const auto taken = std::min(size, this->buffer.size() - this->offset);
+    std::memcpy(target, this->buffer.data() + this->offset, taken);
+    this->offset += taken;
+    if (this->offset == this->buffer.size()) {
+        this->buffer.clear();
+        this->offset = 0;
+    } else if (this->offset >= highWater) {
+        this->buffer.erase(0, this->offset);
+        this->offset = 0;
+    }
+    const bool isLow = this->buffer.size() - this->offset < highWater / 2;
+    if (this->wasFull && isLow) {
+        this->wasFull = false;
+        if (this->onSpace) {
+            this->onSpace();
+        }
+    }
+    return taken;
+}
+
+void BodyPipe::finish(bool isWhole)
+{
+    this->finished = true;
+    this->whole = isWhole;
+    if (this->onReadable) {
+        this->onReadable();
+    }
+}
+
+void BodyPipe::abandon()
+{
+    if (!this->finished && this->onAbandoned) {
+        this->onAbandoned();
+    }
+}
+
+bool BodyPipe::isEmpty() const noexcept
+{
+    return this->offset == this->buffer.size();
+}
+
+bool BodyPipe::isFinished() const noexcept
+{
+    return this->finished;
+}
+
+bool BodyPipe::isWhole() const noexcept
+{
+    return this->whole;
+}
+}
--- /dev/null
+++ b/src/net/eventloop.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <functional>
+#include <memory>
+
+namespace figpulley::net
+{
+/// One thread's reactor: descriptors, timers, and work posted by other threads. Built on ACE.
+class EventLoop
+{
+public:
+    using Callback = std::function<void()>;
+    using TimerId = long;
+    static constexpr TimerId noTimer = -1;
+
+    EventLoop();
+    ~EventLoop();
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
+    /// Dispatches events until stop() is called.
+    void run();
+
+    /// Ends run(); may be called from any thread.
+    void stop();
+
+    /// Runs a callback on the loop's thread; may be called from any thread.
+    void post(Callback callback);
+
+    /// Calls back once after a delay.
+    TimerId after(core::Duration delay, Callback callback);
+
+    /// Calls back repeatedly.
+    TimerId every(core::Duration interval, Callback callback);
+
+    /// Stops a timer; `noTimer` and expired timers are ignored.
+    void cancel(TimerId timer);
+
+    /// Calls back when a descriptor is readable or writable; a watch that exists keeps its callback and changes its events.
+    /// @param onReady receives whether it is readable and whether it is writable
+    void watch(int descriptor, bool isRead, bool isWrite, std::function<void(bool, bool)> onReady);
+
+    /// Ends the watch of a descriptor.
+    void unwatch(int descriptor);
+
+    /// Calls back at the end of each turn, after all ready descriptors were served.
+    void onTurnEnd(Callback callback);
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> implementation;
+};
+}
--- /dev/null
+++ b/src/net/fwd.h
@@ -0,0 +1,15 @@
+#pragma once
+
+/// Forward declarations of the adapters on ACE, libmicrohttpd and libcurl.
+namespace figpulley::net
+{
+class BodyPipe;
+class DatagramSocket;
+class EventLoop;
+class HttpClient;
+class HttpExchange;
+class HttpServer;
+struct Header;
+struct HttpAnswer;
+struct HttpRequest;
+}
--- /dev/null
+++ b/src/net/httpclient.cpp
@@ -0,0 +1,395 @@
+#include "net/httpclient.h"
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <curl/curl.h>
+
+namespace figpulley::net
+{
+namespace
+{
+using namespace std::chrono_literals;
+using core::ErrorKind;
+
+constexpr long largestConnectionPool = 512;
+constexpr long largestIdleSeconds = 30; // shorter than servers keep idle connections, so that none closes under a request
+constexpr std::size_t keptHandles = 256;
+constexpr int httpNoContent = 204;
+constexpr int httpNotModified = 304;
+constexpr int httpFirstFinal = 200;
+
+struct GlobalCurl {
+    GlobalCurl()
+    {
+        curl_global_init(CURL_GLOBAL_DEFAULT);
+    }
+};
+}
+
+class HttpClient::Implementation
+{
+public:
+    struct Transfer {
+        TransferId id {};
+        CURL *handle = nullptr;
+        curl_slist *headerList = nullptr;
+        ClientCallbacks callbacks;
+        ClientAnswerHead head;
+        std::string body;
+        bool isHead = false;
+        bool mayResend = true;
+        bool isHeadDelivered = false;
+        bool isChunked = false;
+        bool isPaused = false;
+        int timesSent = 0;
+    };
+
+    explicit Implementation(EventLoop &loop)
+        : loop(loop)
+    {
+        static const GlobalCurl global;
+        this->multi = curl_multi_init();
+        curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, &Implementation::onSocket);
+        curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &Implementation::onTimer);
+        curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
+        curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, largestConnectionPool);
+        curl_multi_setopt(this->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+    }
+
+    ~Implementation()
+    {
+        this->loop.cancel(this->timer);
+        for (auto &[id, transfer] : this->transfers) {
+            curl_multi_remove_handle(this->multi, transfer->handle);
+            curl_slist_free_all(transfer->headerList);
+            curl_easy_cleanup(transfer->handle);
+        }
+        for (auto *handle : this->idleHandles) {
+            curl_easy_cleanup(handle);
+        }
+        curl_multi_cleanup(this->multi);
+    }
+
+    static int onSocket(CURL * /*handle*/, curl_socket_t socket, int what, void *context, void * /*socketContext*/)
+    {
+        auto &self = *static_cast<Implementation *>(context);
+        if (what == CURL_POLL_REMOVE) {
+            self.loop.unwatch(socket);
+            return 0;
+        }
+        const bool isRead = what == CURL_POLL_IN || what == CURL_POLL_INOUT;
+        const bool isWrite = what == CURL_POLL_OUT || what == CURL_POLL_INOUT;
+        self.loop.watch(socket, isRead, isWrite, [&self, socket](bool isReadable, bool isWritable) {
+            const int events = (isReadable ? CURL_CSELECT_IN : 0) | (isWritable ? CURL_CSELECT_OUT : 0);
+            self.act(socket, events);
+        });
+        return 0;
+    }
+
+    static int onTimer(CURLM * /*multi*/, long timeoutMs, void *context)
+    {
+        auto &self = *static_cast<Implementation *>(context);
+        self.loop.cancel(self.timer);
+        self.timer = EventLoop::noTimer;
+        if (timeoutMs >= 0) {
+            self.timer = self.loop.after(std::chrono::milliseconds(timeoutMs), [&self] {
+                self.timer = EventLoop::noTimer;
+                self.act(CURL_SOCKET_TIMEOUT, 0);
+            });
+        }
+        return 0;
+    }
+
+    static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *context)
+    {
+        auto &transfer = *static_cast<Transfer *>(context);
+        const std::string_view line(data, size * count);
+        if (line.starts_with("HTTP/")) {
+            transfer.head = {};
+            transfer.isChunked = false;
+            return line.size();
+        }
+        const auto colon = line.find(':');
+        if (colon == std::string_view::npos) {
+            return line.size();
+        }
+        auto value = line.substr(colon + 1);
+        const auto first = value.find_first_not_of(" \t");
+        const auto last = value.find_last_not_of(" \t\r\n");
+        value = first == std::string_view::npos || last == std::string_view::npos || last < first ? std::string_view() : value.substr(first, last - first + 1);
+        const auto name = line.substr(0, colon);
+        if (isSameName(name, "Content-Length")) {
+            std::size_t length = 0;
+            std::from_chars(value.data(), value.data() + value.size(), length);
+            transfer.head.length = length;
+        }
+        transfer.isChunked = transfer.isChunked || isSameName(name, "Transfer-Encoding");
+        transfer.head.headers.push_back({std::string(name), std::string(value)});
+        return line.size();
+    }
+
+    static std::size_t onWrite(char *data, std::size_t size, std::size_t count, void *context)
+    {
+        auto &transfer = *static_cast<Transfer *>(context);
+        deliverHead(transfer);
+        const bool goesOn = transfer.callbacks.onData(std::string_view(data, size * count));
+        if (!goesOn) {
+            // The piece was taken; the pause begins with the next one.
+            transfer.isPaused = true;
+            curl_easy_pause(transfer.handle, CURLPAUSE_RECV);
+        }
+        return size * count;
+    }
+
+    // Called each time before a request goes out, on a fresh connection or on a reused one. The second call for the same
+    // request means that libcurl is about to send it again after a reused connection died without an answer.
+    static int onBeforeSend(void *context, char * /*remoteIp*/, char * /*localIp*/, int /*remotePort*/, int /*localPort*/)
+    {
+        auto &transfer = *static_cast<Transfer *>(context);
+        ++transfer.timesSent;
+        const bool isResend = transfer.timesSent > 1;
+        return isResend && !transfer.mayResend ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+    }
+
+    static void deliverHead(Transfer &transfer)
+    {
+        if (transfer.isHeadDelivered) {
+            return;
+        }
+        transfer.isHeadDelivered = true;
+        long status = 0;
+        curl_easy_getinfo(transfer.handle, CURLINFO_RESPONSE_CODE, &status);
+        transfer.head.status = static_cast<int>(status);
+        if (transfer.callbacks.onHead) {
+            transfer.callbacks.onHead(transfer.head);
+        }
+    }
+
+    void act(curl_socket_t socket, int events)
+    {
+        int running = 0;
+        curl_multi_socket_action(this->multi, socket, events, &running);
+        this->collectFinished();
+    }
+
+    void collectFinished()
+    {
+        int left = 0;
+        while (const auto *message = curl_multi_info_read(this->multi, &left)) {
+            if (message->msg == CURLMSG_DONE) {
+                this->finish(message->easy_handle, message->data.result);
+            }
+        }
+    }
+
+    void finish(CURL *handle, CURLcode code)
+    {
+        Transfer *raw = nullptr;
+        curl_easy_getinfo(handle, CURLINFO_PRIVATE, &raw);
+        const auto found = this->transfers.find(static_cast<std::uint64_t>(raw->id));
+        const auto transfer = std::move(found->second);
+        this->transfers.erase(found);
+        if (code == CURLE_OK) {
+            deliverHead(*transfer);
+        }
+        const auto result = resultOf(*transfer, code);
+        curl_multi_remove_handle(this->multi, handle);
+        this->release(*transfer);
+        transfer->callbacks.onDone(result);
+    }
+
+    static ClientResult resultOf(const Transfer &transfer, CURLcode code)
+    {
+        if (code == CURLE_OK) {
+            return {hasFraming(transfer) ? ErrorKind::None : ErrorKind::AnswerShort, "the answer does not tell its length"};
+        }
+        const std::string detail = curl_easy_strerror(code);
+        if (transfer.timesSent == 0) {
+            return {code == CURLE_OPERATION_TIMEDOUT ? ErrorKind::DeadlineExpired : ErrorKind::ConnectFailed, detail};
+        }
+        if (code == CURLE_OPERATION_TIMEDOUT) {
+            return {ErrorKind::DeadlineUnknown, detail};
+        }
+        if (code == CURLE_PARTIAL_FILE || transfer.isHeadDelivered) {
+            return {ErrorKind::AnswerShort, detail};
+        }
+        return {ErrorKind::AnswerLost, detail};
+    }
+
+    // A body that ends with the connection cannot be told from one that was cut off.
+    static bool hasFraming(const Transfer &transfer)
+    {
+        const auto status = transfer.head.status;
+        const bool hasNoBody = transfer.isHead || status == httpNoContent || status == httpNotModified || status < httpFirstFinal;
+        return hasNoBody || transfer.head.length.has_value() || transfer.isChunked;
+    }
+
+    void release(Transfer &transfer)
+    {
+        curl_slist_free_all(transfer.headerList);
+        transfer.headerList = nullptr;
+        if (this->idleHandles.size() < keptHandles) {
+            curl_easy_reset(transfer.handle);
+            this->idleHandles.push_back(transfer.handle);
+        } else {
+            curl_easy_cleanup(transfer.handle);
+        }
+        transfer.handle = nullptr;
+    }
+
+    CURL *takeHandle()
+    {
+        if (this->idleHandles.empty()) {
+            return curl_easy_init();
+        }
+        auto *handle = this->idleHandles.back();
+        this->idleHandles.pop_back();
+        return handle;
+    }
+
+    static void setRequest(Transfer &transfer, const ClientRequest &request)
+    {
+        auto *handle = transfer.handle;
+        curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
+        curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
+        for (const auto &header : request.headers) {
+            // curl drops a header without value unless it ends in a semicolon.
+            const auto line = header.value.empty() ? header.name + ";" : header.name + ": " + header.value;
+            transfer.headerList = curl_slist_append(transfer.headerList, line.c_str());
+        }
+        transfer.headerList = curl_slist_append(transfer.headerList, "Expect:");
+        const bool hasBody = !request.body.empty() || request.method == "POST" || request.method == "PUT";
+        if (request.method == "HEAD") {
+            curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
+        } else if (hasBody) {
+            transfer.body = request.body;
+            curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(transfer.body.size()));
+            curl_easy_setopt(handle, CURLOPT_POSTFIELDS, transfer.body.c_str());
+        }
+        if (request.method != "HEAD") {
+            curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+        }
+        if (hasBody && findHeader(request.headers, "Content-Type").empty()) {
+            transfer.headerList = curl_slist_append(transfer.headerList, "Content-Type:");
+        }
+        curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.headerList);
+    }
+
+    static void setConnection(const Transfer &transfer, const ClientRequest &request)
+    {
+        auto *handle = transfer.handle;
+        curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+        curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(handle, CURLOPT_PROXY, "");
+        curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, largestIdleSeconds);
+        curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, request.isFreshConnection ? 1L : 0L);
+        curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, request.isFreshConnection ? 1L : 0L);
+        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, std::max(1L, static_cast<long>(core::toMilliseconds(request.timeout))));
+        if (request.connectTimeout.count() > 0) {
+            curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(core::toMilliseconds(request.connectTimeout)));
+        }
+        if (!request.bindAddress.empty()) {
+            curl_easy_setopt(handle, CURLOPT_INTERFACE, request.bindAddress.c_str());
+        }
+    }
+
+    static void setCallbacks(Transfer &transfer)
+    {
+        auto *handle = transfer.handle;
+        curl_easy_setopt(handle, CURLOPT_PRIVATE, &transfer);
+        curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &Implementation::onHeader);
+        curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
+        curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &Implementation::onWrite);
+        curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
+        curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &Implementation::onBeforeSend);
+        curl_easy_setopt(handle, CURLOPT_PREREQDATA, &transfer);
+    }
+
+    EventLoop &loop;
+    CURLM *multi = nullptr;
+    EventLoop::TimerId timer = EventLoop::noTimer;
+    std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> transfers;
+    std::vector<CURL *> idleHandles;
+    std::uint64_t nextId = 1;
+};
+
+HttpClient::HttpClient(EventLoop &loop)
+    : implementation(std::make_unique<Implementation>(loop))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+TransferId HttpClient::send(const ClientRequest &request, ClientCallbacks callbacks)
+{
+    auto &self = *this->implementation;
+    auto transfer = std::make_unique<Implementation::Transfer>();
+    transfer->id = TransferId {self.nextId++};
+    transfer->handle = self.takeHandle();
+    transfer->callbacks = std::move(callbacks);
+    transfer->isHead = request.method == "HEAD";
+    transfer->mayResend = request.mayResend;
+    Implementation::setRequest(*transfer, request);
+    Implementation::setConnection(*transfer, request);
+    Implementation::setCallbacks(*transfer);
+    const auto id = transfer->id;
+    auto *handle = transfer->handle;
+    self.transfers.emplace(static_cast<std::uint64_t>(id), std::move(transfer));
+    curl_multi_add_handle(self.multi, handle);
+    return id;
+}
+
+TransferId HttpClient::fetch(const ClientRequest &request, std::size_t largestBody, std::function<void(ClientAnswer)> onDone)
+{
+    auto answer = std::make_shared<ClientAnswer>();
+    auto isTooLarge = std::make_shared<bool>(false);
+    ClientCallbacks callbacks;
+    callbacks.onHead = [answer](const ClientAnswerHead &head) { answer->head = head; };
+    callbacks.onData = [answer, isTooLarge, largestBody](std::string_view data) {
+        if (answer->body.size() + data.size() > largestBody) {
+            *isTooLarge = true;
+        } else {
+            answer->body.append(data);
+        }
+        return true;
+    };
+    callbacks.onDone = [answer, isTooLarge, onDone = std::move(onDone)](const ClientResult &result) {
+        answer->result = result;
+        if (*isTooLarge && result.kind == ErrorKind::None) {
+            answer->result = {ErrorKind::AnswerShort, "the answer is larger than allowed"};
+        }
+        onDone(std::move(*answer));
+    };
+    return this->send(request, std::move(callbacks));
+}
+
+void HttpClient::cancel(TransferId transfer)
+{
+    auto &self = *this->implementation;
+    const auto found = self.transfers.find(static_cast<std::uint64_t>(transfer));
+    if (found == self.transfers.end()) {
+        return;
+    }
+    const auto cancelled = std::move(found->second);
+    self.transfers.erase(found);
+    curl_multi_remove_handle(self.multi, cancelled->handle);
+    self.release(*cancelled);
+}
+
+void HttpClient::resume(TransferId transfer)
+{
+    auto &self = *this->implementation;
+    const auto found = self.transfers.find(static_cast<std::uint64_t>(transfer));
+    if (found != self.transfers.end() && found->second->isPaused) {
+        found->second->isPaused = false;
+        curl_easy_pause(found->second->handle, CURLPAUSE_CONT);
+    }
+}
+}
--- /dev/null
+++ b/src/net/httpserver.cpp
@@ -0,0 +1,456 @@
+#include "net/httpserver.h"
+
+#include <array>
+#include <chrono>
+#include <cstring>
+#include <stdexcept>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <fmt/format.h>
+
+namespace figpulley::net
+{
+namespace
+{
+using namespace std::chrono_literals;
+
+constexpr core::Duration cancellationSweep = 50ms;
+constexpr core::Duration idleSweep = 1s;
+constexpr int runsPerTurn = 16;
+constexpr std::size_t streamBlock = 32UL * 1024UL;
+constexpr int listenBacklog = 1024;
+constexpr int httpBadRequest = 400;
+constexpr int httpTooLarge = 413;
+
+int openListener(const Address &address)
+{
+    const int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int enabled = 1;
+    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+    sockaddr_in where {};
+    where.sin_family = AF_INET;
+    where.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.ip.c_str(), &where.sin_addr);
+    const bool isBound = bind(listener, reinterpret_cast<sockaddr *>(&where), sizeof where) == 0 && listen(listener, listenBacklog) == 0;
+    if (!isBound) {
+        const auto reason = std::string(strerror(errno));
+        close(listener);
+        throw std::runtime_error(fmt::format("cannot listen on {}: {}", address.toString(), reason));
+    }
+    return listener;
+}
+}
+
+class HttpServer::Implementation
+{
+public:
+    class Exchange;
+
+    Implementation(EventLoop &loop, const Address &address, Handler handler, HttpServerLimits limits);
+    ~Implementation();
+
+    static MHD_Result onAccess(void *context,
+                               MHD_Connection *connection,
+                               const char *url,
+                               const char *method,
+                               const char *version,
+                               const char *data,
+                               std::size_t *size,
+                               void **state);
+    static void onCompleted(void *context, MHD_Connection *connection, void **state, MHD_RequestTerminationCode code);
+    static void *keepUri(void *context, const char *uri, MHD_Connection *connection);
+    void serve();
+    void sweepCancelled();
+
+    EventLoop &loop;
+    Handler handler;
+    HttpServerLimits limits;
+    MHD_Daemon *daemon = nullptr;
+    int listener = -1;
+    int epollDescriptor = -1;
+    bool isDirty = false; // a connection was resumed and waits to be served
+    bool isServing = false;
+    std::unordered_set<Exchange *> suspended;
+    EventLoop::TimerId cancellationTimer = EventLoop::noTimer;
+    EventLoop::TimerId idleTimer = EventLoop::noTimer;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+class HttpServer::Implementation::Exchange : public HttpExchange, public std::enable_shared_from_this<HttpServer::Implementation::Exchange>
+{
+public:
+    explicit Exchange(Implementation &server, MHD_Connection *connection)
+        : server(&server)
+        , connection(connection)
+    {
+    }
+
+    ~Exchange() override
+    {
+        if (this->response != nullptr) {
+            MHD_destroy_response(this->response);
+        }
+    }
+
+    [[nodiscard]] const HttpRequest &request() const noexcept override
+    {
+        return this->content;
+    }
+
+    void answer(HttpAnswer answer) override
+    {
+        if (this->isClosed || this->response != nullptr) {
+            return;
+        }
+        this->status = answer.status;
+        this->response = MHD_create_response_from_buffer(answer.body.size(), answer.body.data(), MHD_RESPMEM_MUST_COPY);
+        this->addHeaders(answer.headers);
+        this->resume();
+    }
+
+    void answerFrom(int answerStatus, Headers headers, std::optional<std::size_t> size, std::shared_ptr<BodyPipe> source) override
+    {
+        if (this->isClosed || this->response != nullptr) {
+            source->abandon();
+            return;
+        }
+        this->status = answerStatus;
+        this->pipe = std::move(source);
+        this->pipe->onReadable = [weak = this->weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->resume();
+            }
+        };
+        this->response = MHD_create_response_from_callback(size ? *size : MHD_SIZE_UNKNOWN, streamBlock, &Exchange::readBody, this, nullptr);
+        this->addHeaders(headers);
+        this->resume();
+    }
+
+    void onCancelled(std::function<void()> callback) override
+    {
+        this->cancelled = std::move(callback);
+    }
+
+    static ssize_t readBody(void *context, std::uint64_t /*position*/, char *target, std::size_t size)
+    {
+        auto &self = *static_cast<Exchange *>(context);
+        const auto taken = self.pipe->pull(target, size);
+        if (taken > 0) {
+            return static_cast<ssize_t>(taken);
+        }
+        if (self.wasCancelled) {
+            return MHD_CONTENT_READER_END_WITH_ERROR;
+        }
+        if (self.pipe->isFinished()) {
+            return self.pipe->isWhole() ? MHD_CONTENT_READER_END_OF_STREAM : MHD_CONTENT_READER_END_WITH_ERROR;
+        }
+        self.suspend();
+        return 0;
+    }
+
+    void addHeaders(const Headers &headers)
+    {
+        for (const auto &header : headers) {
+            MHD_add_response_header(this->response, header.name.c_str(), header.value.c_str());
+        }
+    }
+
+    void suspend()
+    {
+        if (!this->isSuspended) {
+            this->isSuspended = true;
+            this->server->suspended.insert(this);
+            MHD_suspend_connection(this->connection);
+        }
+    }
+
+    void resume()
+    {
+        if (this->isSuspended && !this->isClosed) {
+            this->isSuspended = false;
+            this->server->suspended.erase(this);
+            MHD_resume_connection(this->connection);
+            this->server->isDirty = true;
+        }
+    }
+
+    [[nodiscard]] MHD_Result sendResponse()
+    {
+        return MHD_queue_response(this->connection, static_cast<unsigned>(this->status), this->response);
+    }
+
+    // The caller's end of the connection is gone while the request is being worked on.
+    void callerGone()
+    {
+        if (this->wasCancelled) {
+            return;
+        }
+        this->wasCancelled = true;
+        if (this->response == nullptr && this->cancelled) {
+            const auto callback = std::exchange(this->cancelled, nullptr);
+            callback();
+        }
+        if (this->pipe) {
+            this->pipe->abandon();
+        }
+        if (this->response == nullptr) {
+            constexpr int clientClosedRequest = 499;
+            this->answer({clientClosedRequest, {}, {}});
+        } else {
+            this->resume();
+        }
+    }
+
+    Implementation *server;
+    MHD_Connection *connection;
+    HttpRequest content;
+    MHD_Response *response = nullptr;
+    std::shared_ptr<BodyPipe> pipe;
+    std::function<void()> cancelled;
+    int status = 0;
+    bool isTooLarge = false;
+    bool isHandled = false;
+    bool isSuspended = false;
+    bool isClosed = false;
+    bool wasCancelled = false;
+};
+
+namespace
+{
+MHD_Result collectHeader(void *context, MHD_ValueKind /*kind*/, const char *name, const char *value)
+{
+    static_cast<Headers *>(context)->push_back({name, value != nullptr ? value : ""});
+    return MHD_YES;
+}
+
+// Two framings of one body are how requests are smuggled past a proxy; so are two lengths that differ.
+bool hasAmbiguousLength(const Headers &headers)
+{
+    int lengths = 0;
+    int encodings = 0;
+    for (const auto &header : headers) {
+        lengths += isSameName(header.name, "Content-Length") ? 1 : 0;
+        encodings += isSameName(header.name, "Transfer-Encoding") ? 1 : 0;
+    }
+    return lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0);
+}
+}
+
+void *HttpServer::Implementation::keepUri(void *context, const char *uri, MHD_Connection *connection)
+{
+    auto &server = *static_cast<Implementation *>(context);
+    auto exchange = std::make_shared<Exchange>(server, connection);
+    const std::string_view target(uri);
+    const auto question = target.find('?');
+    exchange->content.path = std::string(target.substr(0, question));
+    exchange->content.query = question == std::string_view::npos ? std::string() : std::string(target.substr(question));
+    return new std::shared_ptr<Exchange>(std::move(exchange));
+}
+
+MHD_Result HttpServer::Implementation::onAccess(void *context,
+                                                MHD_Connection *connection,
+                                                const char * /*url*/,
+                                                const char *method,
+                                                const char * /*version*/,
+                                                const char *data,
+                                                std::size_t *size,
+                                                void **state)
+{
+    auto &server = *static_cast<Implementation *>(context);
+    const auto exchange = *static_cast<std::shared_ptr<Exchange> *>(*state);
+    if (exchange->response != nullptr) {
+        return exchange->sendResponse();
+    }
+    if (exchange->content.method.empty()) {
+        exchange->content.method = method;
+        MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectHeader, &exchange->content.headers);
+        return MHD_YES;
+    }
+    if (*size > 0) {
+        if (exchange->content.body.size() + *size > server.limits.bodyBytes) {
+            exchange->isTooLarge = true;
+        } else {
+            exchange->content.body.append(data, *size);
+        }
+        *size = 0;
+        return MHD_YES;
+    }
+    if (!exchange->isHandled) {
+        exchange->isHandled = true;
+        if (exchange->isTooLarge) {
+            exchange->answer({httpTooLarge, {{"Figpulley-Kind", "body-too-large"}, {"Figpulley-Ran", "no"}}, "the request body exceeds the limit\n"});
+        } else if (hasAmbiguousLength(exchange->content.headers)) {
+            exchange->answer({httpBadRequest,
+                              {{"Figpulley-Kind", "bad-request"}, {"Figpulley-Ran", "no"}, {"Connection", "close"}},
+                              "ambiguous body length\n"});
+        } else {
+            server.handler(exchange);
+        }
+    }
+    if (exchange->response != nullptr) {
+        return exchange->sendResponse();
+    }
+    exchange->suspend();
+    return MHD_YES;
+}
+
+void HttpServer::Implementation::onCompleted(void * /*context*/, MHD_Connection * /*connection*/, void **state, MHD_RequestTerminationCode code)
+{
+    auto *holder = static_cast<std::shared_ptr<Exchange> *>(*state);
+    if (holder == nullptr) {
+        return;
+    }
+    const auto exchange = *holder;
+    delete holder;
+    *state = nullptr;
+    exchange->isClosed = true;
+    exchange->server->suspended.erase(exchange.get());
+    if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK) {
+        return;
+    }
+    if (exchange->pipe) {
+        exchange->pipe->abandon();
+    }
+    if (exchange->response == nullptr && exchange->cancelled) {
+        std::exchange(exchange->cancelled, nullptr)();
+    }
+}
+
+HttpServer::Implementation::Implementation(EventLoop &loop, const Address &address, Handler handler, HttpServerLimits limits)
+    : loop(loop)
+    , handler(std::move(handler))
+    , limits(limits)
+    , listener(openListener(address))
+{
+    this->daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME,
+                                    0,
+                                    nullptr,
+                                    nullptr,
+                                    &Implementation::onAccess,
+                                    this,
+                                    MHD_OPTION_LISTEN_SOCKET,
+                                    this->listener,
+                                    MHD_OPTION_NOTIFY_COMPLETED,
+                                    &Implementation::onCompleted,
+                                    this,
+                                    MHD_OPTION_URI_LOG_CALLBACK,
+                                    &Implementation::keepUri,
+                                    this,
+                                    MHD_OPTION_CONNECTION_LIMIT,
+                                    static_cast<unsigned>(limits.connections),
+                                    MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                                    limits.headerBytes,
+                                    MHD_OPTION_CONNECTION_TIMEOUT,
+                                    limits.idleSeconds,
+                                    MHD_OPTION_STRICT_FOR_CLIENT,
+                                    1,
+                                    MHD_OPTION_END);
+    if (this->daemon == nullptr) {
+        close(this->listener);
+        throw std::runtime_error(fmt::format("cannot serve HTTP on {}", address.toString()));
+    }
+    this->epollDescriptor = MHD_get_daemon_info(this->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+    this->loop.watch(this->epollDescriptor, true, false, [this](bool, bool) { this->serve(); });
+    this->loop.onTurnEnd([this, watched = std::weak_ptr<bool>(this->alive)] {
+        if (!watched.expired() && this->isDirty) {
+            this->serve();
+        }
+    });
+    this->cancellationTimer = this->loop.every(cancellationSweep, [this] { this->sweepCancelled(); });
+    this->idleTimer = this->loop.every(idleSweep, [this] { this->serve(); });
+}
+
+HttpServer::Implementation::~Implementation()
+{
+    this->alive.reset();
+    this->loop.cancel(this->cancellationTimer);
+    this->loop.cancel(this->idleTimer);
+    this->loop.unwatch(this->epollDescriptor);
+    const auto waiting = this->suspended;
+    for (auto *exchange : waiting) {
+        exchange->cancelled = nullptr;
+        exchange->resume();
+    }
+    MHD_stop_daemon(this->daemon);
+}
+
+void HttpServer::Implementation::serve()
+{
+    if (this->isServing) {
+        this->isDirty = true;
+        return;
+    }
+    this->isServing = true;
+    for (int run = 0; run < runsPerTurn; ++run) {
+        this->isDirty = false;
+        MHD_run(this->daemon);
+        MHD_UNSIGNED_LONG_LONG wait = 0;
+        const bool isReadyNow = MHD_get_timeout(this->daemon, &wait) == MHD_YES && wait == 0;
+        if (!isReadyNow && !this->isDirty) {
+            break;
+        }
+    }
+    this->isServing = false;
+}
+
+// A suspended connection is not read, so libmicrohttpd does not notice that its peer went away.
+void HttpServer::Implementation::sweepCancelled()
+{
+    if (this->suspended.empty()) {
+        return;
+    }
+    std::vector<std::weak_ptr<Exchange>> exchanges;
+    std::vector<pollfd> descriptors;
+    exchanges.reserve(this->suspended.size());
+    descriptors.reserve(this->suspended.size());
+    for (auto *exchange : this->suspended) {
+        const auto *info = MHD_get_connection_info(exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        exchanges.push_back(exchange->weak_from_this());
+        descriptors.push_back({info->connect_fd, POLLRDHUP, 0});
+    }
+    if (poll(descriptors.data(), descriptors.size(), 0) <= 0) {
+        return;
+    }
+    for (std::size_t at = 0; at < descriptors.size(); ++at) {
+        const auto exchange = exchanges[at].lock();
+        if (descriptors[at].revents != 0 && exchange && exchange->isSuspended) {
+            exchange->callerGone();
+        }
+    }
+}
+
+HttpServer::HttpServer(EventLoop &loop, const Address &address, Handler handler, HttpServerLimits limits)
+    : implementation(std::make_unique<Implementation>(loop, address, std::move(handler), limits))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+Address HttpServer::address() const
+{
+    sockaddr_in where {};
+    socklen_t size = sizeof where;
+    getsockname(this->implementation->listener, reinterpret_cast<sockaddr *>(&where), &size);
+    std::array<char, INET_ADDRSTRLEN> text {};
+    inet_ntop(AF_INET, &where.sin_addr, text.data(), text.size());
+    return {text.data(), ntohs(where.sin_port)};
+}
+
+void HttpServer::stopAccepting()
+{
+    const auto quiet = MHD_quiesce_daemon(this->implementation->daemon);
+    if (quiet != MHD_INVALID_SOCKET) {
+        close(quiet);
+    }
+}
+}
--- /dev/null
+++ b/src/net/query.cpp
@@ -0,0 +1,34 @@
+#include "net/query.h"
+
+#include <charconv>
+
+namespace figpulley::net
+{
+std::string queryText(std::string_view query, std::string_view name)
+{
+    if (query.starts_with('?')) {
+        query.remove_prefix(1);
+    }
+    while (!query.empty()) {
+        const auto end = query.find('&');
+        const auto parameter = query.substr(0, end);
+        const auto equals = parameter.find('=');
+        if (equals != std::string_view::npos && parameter.substr(0, equals) == name) {
+            return std::string(parameter.substr(equals + 1));
+        }
+        query = end == std::string_view::npos ? std::string_view() : query.substr(end + 1);
+    }
+    return {};
+}
+
+std::optional<std::uint64_t> queryNumber(std::string_view query, std::string_view name)
+{
+    const auto text = queryText(query, name);
+    std::uint64_t number = 0;
+    const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc {} || stop != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return number;
+}
+}
--- /dev/null
+++ b/src/net/query.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace figpulley::net
+{
+/// Finds a parameter in a query such as `?a=1&b=2`; values are taken as written.
+/// @returns the text, or an empty string if it is absent
+[[nodiscard]] std::string queryText(std::string_view query, std::string_view name);
+
+/// Finds a numeric parameter.
+/// @returns nothing if it is absent or not a number
+[[nodiscard]] std::optional<std::uint64_t> queryNumber(std::string_view query, std::string_view name);
+}
--- /dev/null
+++ b/src/node/controlface.cpp
@@ -0,0 +1,336 @@
+#include "node/controlface.h"
+
+#include "config/load.h"
+#include "core/log.h"
+#include "net/query.h"
+#include "node/contactlist.h"
+#include "node/headernames.h"
+#include "node/statusreport.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace figpulley::node
+{
+namespace
+{
+using namespace std::chrono_literals;
+using core::ErrorKind;
+using core::LogLevel;
+
+constexpr core::Duration tickInterval = 50ms;
+constexpr core::Duration upstreamPoll = 500ms;
+constexpr core::Duration contactsInterval = 20s;
+constexpr core::Duration platformTimeout = 3s;
+constexpr core::Duration fetchTimeout = 2s;
+constexpr std::size_t largestConfig = 64UL << 20U;
+constexpr std::size_t largestHealth = 4096;
+constexpr std::size_t relaysPerZone = 3;
+constexpr std::size_t tagLength = 2; // bytes that give the signature's length in a datagram
+constexpr int httpNotFound = 404;
+constexpr int httpForbidden = 403;
+
+// A datagram is the signature's length, the signature and the message.
+std::string seal(const trust::KeyRing &keys, const std::string &message)
+{
+    const auto signature = keys.sign(message);
+    std::string bytes;
+    bytes.reserve(tagLength + signature.size() + message.size());
+    bytes += static_cast<char>(signature.size() / 256);
+    bytes += static_cast<char>(signature.size() % 256);
+    bytes += signature;
+    bytes += message;
+    return bytes;
+}
+
+std::optional<std::string_view> unseal(const trust::KeyRing &keys, std::string_view bytes)
+{
+    if (bytes.size() < tagLength) {
+        return std::nullopt;
+    }
+    const auto length = static_cast<std::size_t>(static_cast<unsigned char>(bytes[0])) * 256 + static_cast<unsigned char>(bytes[1]);
+    if (bytes.size() < tagLength + length) {
+        return std::nullopt;
+    }
+    const auto signature = bytes.substr(tagLength, length);
+    const auto message = bytes.substr(tagLength + length);
+    if (!keys.isValid(message, signature)) {
+        return std::nullopt;
+    }
+    return message;
+}
+
+members::SwimOptions optionsFor(const NodeSettings &settings)
+{
+    members::SwimOptions options;
+    options.seeds = settings.seeds;
+    return options;
+}
+}
+
+ControlFace::ControlFace(NodeContext context)
+    : context(context)
+    , swim(optionsFor(context.settings))
+{
+    this->server = std::make_unique<net::HttpServer>(context.loop, context.settings.control, [this](const std::shared_ptr<net::HttpExchange> &exchange) {
+        this->handle(exchange);
+    });
+    // Datagrams and HTTP share one number, so that a node has one control address.
+    this->socket = std::make_unique<net::DatagramSocket>(context.loop, this->server->address(), [this](const net::Address &from, std::string_view bytes) {
+        this->receive(from, bytes);
+    });
+    this->configController.offer(this->context.board, config::builtInConfiguration());
+}
+
+ControlFace::~ControlFace()
+{
+    for (const auto timer : this->timers) {
+        this->context.loop.cancel(timer);
+    }
+}
+
+net::Address ControlFace::address() const
+{
+    return this->socket->address();
+}
+
+const ControlTraffic &ControlFace::traffic() const noexcept
+{
+    return this->counted;
+}
+
+void ControlFace::start()
+{
+    auto &loop = this->context.loop;
+    this->swim.start(this->context.board, core::steadyNow());
+    this->followMembership();
+    if (this->context.settings.platform) {
+        this->store = std::make_unique<platform::HttpObjectStore>(this->context.client, this->context.settings.platform->toString(), platformTimeout);
+        this->relay = std::make_shared<sync::ConfigRelay>(
+            *this->store,
+            [&loop](core::Duration delay, std::function<void()> callback) { loop.after(delay, std::move(callback)); },
+            this->snapshots,
+            [this](sync::Snapshot snapshot) { this->takeSnapshot(std::move(snapshot)); },
+            this->context.random());
+        this->refreshContacts();
+        this->timers.push_back(loop.every(contactsInterval, [this] { this->refreshContacts(); }));
+    }
+    this->timers.push_back(loop.every(tickInterval, [this] { this->tick(); }));
+    if (this->context.settings.upstream) {
+        this->timers.push_back(loop.every(upstreamPoll, [this] { this->pollUpstream(); }));
+    }
+}
+
+void ControlFace::tick()
+{
+    this->sendAll(this->swim.tick(this->context.board, core::steadyNow(), this->context.random));
+    this->followMembership();
+    if (!this->isFetching && this->wantedRevision > this->snapshots.current().manifest.revision) {
+        this->fetchConfig();
+    }
+    if (this->relay) {
+        this->relay->setActive(this->swim.holdsRole(this->context.board, "relay", relaysPerZone));
+    }
+}
+
+void ControlFace::followMembership()
+{
+    const auto generation = this->context.board.membership.read().generation;
+    if (generation != this->seenGeneration) {
+        this->seenGeneration = generation;
+        this->directory.rebuild(this->context.board);
+    }
+}
+
+void ControlFace::sendAll(const members::OutgoingList &list)
+{
+    for (const auto &outgoing : list) {
+        const auto to = net::parseAddress(outgoing.to);
+        if (!to) {
+            continue;
+        }
+        const auto bytes = seal(this->context.settings.keys, members::encode(outgoing.message));
+        ++this->counted.datagramsSent;
+        this->counted.bytesSent += bytes.size();
+        this->socket->send(*to, bytes);
+    }
+}
+
+void ControlFace::receive(const net::Address & /*from*/, std::string_view bytes)
+{
+    ++this->counted.datagramsReceived;
+    this->counted.bytesReceived += bytes.size();
+    const auto text = unseal(this->context.settings.keys, bytes);
+    const auto message = text ? members::decodeSwimMessage(*text) : std::nullopt;
+    if (!message) {
+        ++this->counted.rejected;
+        return;
+    }
+    this->noteRevision(*message);
+    this->sendAll(this->swim.receive(this->context.board, *message, core::steadyNow(), this->context.random));
+    this->followMembership();
+}
+
+void ControlFace::noteRevision(const members::SwimMessage &message)
+{
+    if (message.configRevision > std::max(this->wantedRevision, this->snapshots.current().manifest.revision)) {
+        this->wantedRevision = message.configRevision;
+        this->wantedFrom = message.sender;
+        if (!this->isFetching) {
+            this->fetchConfig();
+        }
+    }
+}
+
+// From the peer that told of the revision: the fetches follow the tree along which the news has spread.
+void ControlFace::fetchConfig()
+{
+    this->isFetching = true;
+    ++this->counted.configFetches;
+    const auto have = this->snapshots.current().manifest.revision;
+    net::ClientRequest request;
+    request.url = fmt::format("http://{}/config?have={}", this->wantedFrom, have);
+    request.timeout = fetchTimeout;
+    request.headers.push_back({std::string(proofHeader), this->context.settings.keys.sign(fmt::format("config {}", have))});
+    this->context.client.fetch(request, largestConfig, [this](const net::ClientAnswer &answer) {
+        this->isFetching = false;
+        auto snapshot = answer.result.kind == ErrorKind::None ? this->snapshots.applyDelta(answer.body) : std::nullopt;
+        if (snapshot) {
+            this->takeSnapshot(std::move(*snapshot));
+            return;
+        }
+        // Another peer will name the revision again.
+        this->wantedRevision = 0;
+    });
+}
+
+void ControlFace::takeSnapshot(sync::Snapshot snapshot)
+{
+    text::Problems problems;
+    if (snapshot.manifest.revision <= this->snapshots.current().manifest.revision || !snapshot.missing().empty()) {
+        return;
+    }
+    auto configuration = config::load(snapshot.files(), problems);
+    const auto revision = snapshot.manifest.revision;
+    if (!configuration) {
+        this->configProblem = fmt::format("revision {}: {}", revision, text::describe(problems.front()));
+        core::log(LogLevel::Error, "config.not_understood", {{"revision", fmt::to_string(revision)}, {"problem", this->configProblem}});
+        return;
+    }
+    configuration->revision = revision;
+    this->snapshots.offer(std::move(snapshot));
+    if (this->configController.offer(this->context.board, std::move(configuration))) {
+        this->configProblem.clear();
+        core::log(LogLevel::Info, "config.in_force", {{"revision", fmt::to_string(revision)}, {"node", this->context.board.identity.controlAddress}});
+    }
+}
+
+void ControlFace::announceLeaving(bool isLeaving)
+{
+    this->sendAll(this->swim.announceLeaving(this->context.board, isLeaving, core::steadyNow(), this->context.random));
+    this->followMembership();
+}
+
+// The upstream's word counts for leaving only: its load report lags or misleads, and is not read.
+void ControlFace::pollUpstream()
+{
+    net::ClientRequest request;
+    request.url = fmt::format("http://{}/health", this->context.settings.upstream->toString());
+    request.timeout = upstreamPoll;
+    this->context.client.fetch(request, largestHealth, [this](const net::ClientAnswer &answer) {
+        if (answer.result.kind != ErrorKind::None) {
+            return;
+        }
+        const auto health = nlohmann::json::parse(answer.body, nullptr, false);
+        if (!health.is_object()) {
+            return;
+        }
+        const auto draining = health.find("draining");
+        const bool isDraining = draining != health.end() && draining->is_boolean() && draining->get<bool>();
+        if (this->drainController.upstreamReported(this->context.board, isDraining)) {
+            this->announceLeaving(this->context.board.drain.read().isLeaving());
+        }
+    });
+}
+
+void ControlFace::refreshContacts()
+{
+    this->store->list(contactPrefix, [this](const platform::ListResult &result) {
+        for (const auto &name : result.names) {
+            this->store->get(name.key, [this](const platform::StoreResult &object) {
+                if (object.kind == ErrorKind::None) {
+                    this->swim.addSeeds(decodeContacts(object.object.value));
+                }
+            });
+        }
+        this->publishContacts();
+    });
+}
+
+// One node of the zone writes for all, and only when the list in the platform has become poor.
+void ControlFace::publishContacts()
+{
+    if (!this->swim.holdsRole(this->context.board, "contacts", 1)) {
+        return;
+    }
+    const auto key = contactKey(this->context.settings.availabilityZone);
+    this->store->get(key, [this, key](const platform::StoreResult &result) {
+        const bool isRead = result.kind == ErrorKind::None || result.kind == ErrorKind::NotFound;
+        const auto wanted = isRead ? contactsToPublish(this->context.board, decodeContacts(result.object.value)) : std::nullopt;
+        if (wanted) {
+            this->store->put(key, encodeContacts(*wanted), {result.object.version}, [](const platform::StoreResult &) { });
+        }
+    });
+}
+
+std::string ControlFace::statusJson() const
+{
+    StatusInputs inputs;
+    inputs.manifest = &this->snapshots.current().manifest;
+    inputs.configProblem = this->configProblem;
+    inputs.isPlatformReachable = this->relay && this->relay->isPlatformReachable();
+    inputs.olderRootRevision = this->relay ? this->relay->olderRootRevision() : 0;
+    inputs.bytesSent = this->counted.bytesSent;
+    inputs.datagramsSent = this->counted.datagramsSent;
+    return statusReport(this->context.board, inputs, core::steadyNow());
+}
+
+void ControlFace::updateGauges()
+{
+    const auto &board = this->context.board;
+    auto &metrics = this->context.metrics;
+    const auto &admission = board.admission.read();
+    metrics.setGauge("figpulley_concurrency_limit", admission.limit.limit);
+    metrics.setGauge("figpulley_running_calls", admission.running);
+    metrics.setGauge("figpulley_queued_calls", static_cast<double>(admission.queue.size()));
+    metrics.setGauge("figpulley_shed_threshold", admission.threshold.value());
+    metrics.setGauge("figpulley_config_revision", static_cast<double>(this->snapshots.current().manifest.revision));
+    metrics.setGauge("figpulley_members", static_cast<double>(board.membership.read().members.size() + 1));
+    metrics.setGauge("figpulley_isolated", board.membership.read().isIsolated ? 1 : 0);
+    metrics.setGauge("figpulley_control_bytes_sent", static_cast<double>(this->counted.bytesSent));
+}
+
+void ControlFace::handle(const std::shared_ptr<net::HttpExchange> &exchange)
+{
+    const auto &request = exchange->request();
+    if (request.path == "/metrics") {
+        this->updateGauges();
+        exchange->answer({200, {{"Content-Type", "text/plain; version=0.0.4"}}, this->context.metrics.exposition()});
+    } else if (request.path == "/status") {
+        exchange->answer({200, {{"Content-Type", "application/json"}}, this->statusJson()});
+    } else if (request.path == "/config") {
+        const auto have = net::queryNumber(request.query, "have").value_or(0);
+        const bool isNode = this->context.settings.keys.isValid(fmt::format("config {}", have), net::findHeader(request.headers, proofHeader));
+        if (!isNode) {
+            exchange->answer({httpForbidden, {}, "not a node\n"});
+            return;
+        }
+        exchange->answer({200, {{"Content-Type", "application/json"}}, this->snapshots.encodeDelta(have)});
+    } else {
+        exchange->answer({httpNotFound, {}, "known paths: /metrics /status /config\n"});
+    }
+}
+}
--- /dev/null
+++ b/src/node/fwd.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/// Forward declarations of the node.
+namespace figpulley::node
+{
+class ControlFace;
+class EgressFace;
+class IngressFace;
+class Node;
+class NodeMetrics;
+struct NodeContext;
+struct NodeSettings;
+}
--- /dev/null
+++ b/src/node/nodemetrics.cpp
@@ -0,0 +1,94 @@
+#include "node/nodemetrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <fmt/format.h>
+
+namespace figpulley::node
+{
+namespace
+{
+using prometheus::Counter;
+using prometheus::Family;
+using prometheus::Gauge;
+using prometheus::Histogram;
+
+const Histogram::BucketBoundaries latencyBuckets {0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10};
+
+Family<Counter> &counterFamily(prometheus::Registry &registry, const std::string &name, const std::string &help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+Family<Histogram> &histogramFamily(prometheus::Registry &registry, const std::string &name, const std::string &help)
+{
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
+}
+
+class NodeMetrics::Implementation
+{
+public:
+    std::shared_ptr<prometheus::Registry> registry = std::make_shared<prometheus::Registry>();
+    Family<Counter> &calls = counterFamily(*this->registry, "figpulley_calls_total", "Calls answered by the egress");
+    Family<Histogram> &callSeconds = histogramFamily(*this->registry, "figpulley_call_duration_seconds", "Time from a call's arrival at the egress to its answer");
+    Family<Counter> &attempts = counterFamily(*this->registry, "figpulley_attempts_total", "Attempts sent to endpoints");
+    Family<Counter> &ingress = counterFamily(*this->registry, "figpulley_ingress_calls_total", "Calls answered by the ingress");
+    Family<Histogram> &ingressSeconds = histogramFamily(*this->registry, "figpulley_ingress_duration_seconds", "Time from a call's arrival at the ingress to its answer");
+    std::map<std::string, Gauge *, std::less<>> gauges;
+};
+
+NodeMetrics::NodeMetrics()
+    : implementation(std::make_unique<Implementation>())
+{
+}
+
+NodeMetrics::~NodeMetrics() = default;
+
+void NodeMetrics::countCall(const std::string &service,
+                            const std::string &route,
+                            const std::string &priority,
+                            core::ErrorKind kind,
+                            int status,
+                            core::Duration latency)
+{
+    const std::string kindName(core::answerFor(kind).name);
+    this->implementation->calls.Add({{"service", service}, {"route", route}, {"priority", priority}, {"kind", kindName}, {"code", fmt::to_string(status)}}).Increment();
+    this->implementation->callSeconds.Add({{"service", service}, {"route", route}}, latencyBuckets).Observe(core::toSeconds(latency));
+}
+
+void NodeMetrics::countAttempt(const std::string &service, bool isRetry)
+{
+    this->implementation->attempts.Add({{"service", service}, {"retry", isRetry ? "true" : "false"}}).Increment();
+}
+
+void NodeMetrics::countIngress(const std::string &service, core::ErrorKind kind, core::Duration latency)
+{
+    this->implementation->ingress.Add({{"service", service}, {"kind", std::string(core::answerFor(kind).name)}}).Increment();
+    this->implementation->ingressSeconds.Add({{"service", service}}, latencyBuckets).Observe(core::toSeconds(latency));
+}
+
+void NodeMetrics::setGauge(std::string_view name, double value)
+{
+    auto found = this->implementation->gauges.find(name);
+    if (found == this->implementation->gauges.end()) {
+        auto &family = prometheus::BuildGauge().Name(std::string(name)).Help("State of the node").Register(*this->implementation->registry);
+        found = this->implementation->gauges.emplace(std::string(name), &family.Add({})).first;
+    }
+    found->second->Set(value);
+}
+
+std::string NodeMetrics::exposition() const
+{
+    return prometheus::TextSerializer().Serialize(this->implementation->registry->Collect());
+}
+
+const prometheus::Registry &NodeMetrics::registry() const noexcept
+{
+    return *this->implementation->registry;
+}
+}
--- /dev/null
+++ b/src/node/nodemetrics.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "core/envelope.h"
+#include "core/time.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace prometheus
+{
+class Counter;
+class Gauge;
+class Histogram;
+class Registry;
+}
+
+namespace figpulley::node
+{
+/// One value of a gauge that is set when metrics are read.
+struct GaugeValue {
+    std::string_view name;
+    double value = 0;
+};
+
+/// The node's metrics, by prometheus-cpp.
+class NodeMetrics
+{
+public:
+    NodeMetrics();
+    ~NodeMetrics();
+    NodeMetrics(const NodeMetrics &) = delete;
+    NodeMetrics &operator=(const NodeMetrics &) = delete;
+
+    /// Counts a call that the egress answered.
+    /// @param priority name of the level
+    /// @param status HTTP status of the answer
+    void countCall(const std::string &service, const std::string &route, const std::string &priority, core::ErrorKind kind, int status, core::Duration latency);
+
+    /// Counts an attempt sent to an endpoint.
+    void countAttempt(const std::string &service, bool isRetry);
+
+    /// Counts a call that the ingress answered.
+    void countIngress(const std::string &service, core::ErrorKind kind, core::Duration latency);
+
+    void setGauge(std::string_view name, double value);
+
+    /// All metrics in the text exposition format.
+    [[nodiscard]] std::string exposition() const;
+
+    [[nodiscard]] const prometheus::Registry &registry() const noexcept;
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> implementation;
+};
+}
--- /dev/null
+++ b/src/node/ownanswer.cpp
@@ -0,0 +1,36 @@
+#include "node/ownanswer.h"
+
+#include "node/headernames.h"
+
+#include <fmt/format.h>
+
+namespace figpulley::node
+{
+namespace
+{
+constexpr int httpServiceUnavailable = 503;
+}
+
+net::HttpAnswer ownAnswer(const core::CallOutcome &outcome)
+{
+    const auto &row = core::answerFor(outcome.kind);
+    net::HttpAnswer answer;
+    answer.status = row.httpStatus;
+    answer.headers = {
+        {std::string(kindHeader), std::string(row.name)},
+        {std::string(ranHeader), std::string(core::name(outcome.ran))},
+        {"Content-Type", "application/json"},
+    };
+    if (row.httpStatus == httpServiceUnavailable) {
+        answer.headers.push_back({"Retry-After", "1"});
+    }
+    answer.body = fmt::format("{{\"kind\":\"{}\",\"ran\":\"{}\",\"message\":\"{}\"}}\n", row.name, core::name(outcome.ran), row.wording);
+    return answer;
+}
+
+bool isPassedOn(std::string_view name) noexcept
+{
+    const bool isOurs = name.size() >= headerPrefix.size() && net::isSameName(name.substr(0, headerPrefix.size()), headerPrefix);
+    return !isOurs && !net::isHopByHop(name) && !net::isSameName(name, "Content-Length") && !net::isSameName(name, "Expect");
+}
+}
--- /dev/null
+++ b/src/node/ownanswer.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "core/envelope.h"
+#include "net/httpserver.h"
+
+namespace figpulley::node
+{
+/// Builds the answer that figpulley itself makes for an outcome: status, kind, whether the call ran, and a JSON body.
+[[nodiscard]] net::HttpAnswer ownAnswer(const core::CallOutcome &outcome);
+
+/// Whether a header of a request or an answer is passed on.
+[[nodiscard]] bool isPassedOn(std::string_view name) noexcept;
+}
--- /dev/null
+++ b/src/platform/httpobjectstore.cpp
@@ -0,0 +1,143 @@
+#include "platform/httpobjectstore.h"
+
+#include <charconv>
+#include <chrono>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace figpulley::platform
+{
+namespace
+{
+using core::ErrorKind;
+
+constexpr std::size_t largestAnswer = largestValue + 4096;
+constexpr std::size_t largestList = 64UL << 20U;
+constexpr int httpOk = 200;
+constexpr int httpCreated = 201;
+constexpr int httpNoContent = 204;
+constexpr int httpNotFound = 404;
+constexpr int httpPreconditionFailed = 412;
+constexpr int httpTooLarge = 413;
+constexpr core::Duration watchMargin = std::chrono::seconds(2);
+
+std::uint64_t versionOf(const net::Headers &headers)
+{
+    auto tag = net::findHeader(headers, "ETag");
+    if (tag.size() >= 2 && tag.front() == '"') {
+        tag = tag.substr(1, tag.size() - 2);
+    }
+    std::uint64_t version = 0;
+    std::from_chars(tag.data(), tag.data() + tag.size(), version);
+    return version;
+}
+
+// A read that fails has done nothing; a write that fails on its way may have taken effect.
+ErrorKind transportKind(ErrorKind kind, bool isWrite)
+{
+    const bool didNotReach = core::answerFor(kind).ran == core::Ran::No;
+    return !isWrite || didNotReach ? ErrorKind::PlatformUnavailable : ErrorKind::PlatformOutcomeUnknown;
+}
+
+StoreResult resultOf(const net::ClientAnswer &answer, bool isWrite)
+{
+    StoreResult result;
+    if (answer.result.kind != ErrorKind::None) {
+        result.kind = transportKind(answer.result.kind, isWrite);
+        return result;
+    }
+    result.object.version = versionOf(answer.head.headers);
+    switch (answer.head.status) {
+    case httpOk:
+    case httpCreated:
+        result.object.value = isWrite ? std::string() : answer.body;
+        break;
+    case httpNoContent:
+        break;
+    case httpNotFound:
+        result.kind = ErrorKind::NotFound;
+        break;
+    case httpPreconditionFailed:
+        result.kind = ErrorKind::Conflict;
+        break;
+    case httpTooLarge:
+        result.kind = ErrorKind::BodyTooLarge;
+        break;
+    default:
+        // A server error after a write tells nothing about the write.
+        result.kind = isWrite ? ErrorKind::PlatformOutcomeUnknown : ErrorKind::PlatformUnavailable;
+    }
+    return result;
+}
+}
+
+HttpObjectStore::HttpObjectStore(net::HttpClient &client, std::string address, core::Duration timeout)
+    : client(client)
+    , address(std::move(address))
+    , timeout(timeout)
+{
+}
+
+net::ClientRequest HttpObjectStore::request(std::string method, const std::string &path) const
+{
+    net::ClientRequest request;
+    request.method = std::move(method);
+    request.url = fmt::format("http://{}{}", this->address, path);
+    request.timeout = this->timeout;
+    request.mayResend = request.method == "GET";
+    return request;
+}
+
+void HttpObjectStore::get(const std::string &key, Callback callback)
+{
+    this->client.fetch(this->request("GET", "/v1/objects/" + key), largestAnswer, [callback = std::move(callback)](const net::ClientAnswer &answer) {
+        callback(resultOf(answer, false));
+    });
+}
+
+void HttpObjectStore::put(const std::string &key, const std::string &value, WriteCondition condition, Callback callback)
+{
+    auto request = this->request("PUT", "/v1/objects/" + key);
+    request.body = value;
+    if (condition.version && *condition.version == 0) {
+        request.headers.push_back({"If-None-Match", "*"});
+    } else if (condition.version) {
+        request.headers.push_back({"If-Match", fmt::format("\"{}\"", *condition.version)});
+    }
+    this->client.fetch(request, largestAnswer, [callback = std::move(callback)](const net::ClientAnswer &answer) { callback(resultOf(answer, true)); });
+}
+
+void HttpObjectStore::watch(const std::string &key, std::uint64_t known, core::Duration timeout, Callback callback)
+{
+    auto request = this->request("GET", fmt::format("/v1/watch/{}?known={}&timeout_ms={}", key, known, core::toMilliseconds(timeout)));
+    request.timeout = timeout + watchMargin;
+    this->client.fetch(request, largestAnswer, [callback = std::move(callback), known](const net::ClientAnswer &answer) {
+        auto result = resultOf(answer, false);
+        if (answer.result.kind == ErrorKind::None && answer.head.status == httpNoContent) {
+            result.object.version = known;
+        }
+        callback(result);
+    });
+}
+
+void HttpObjectStore::list(const std::string &prefix, ListCallback callback)
+{
+    this->client.fetch(this->request("GET", "/v1/list?prefix=" + prefix), largestList, [callback = std::move(callback)](const net::ClientAnswer &answer) {
+        ListResult result;
+        if (answer.result.kind != ErrorKind::None || answer.head.status != httpOk) {
+            result.kind = ErrorKind::PlatformUnavailable;
+            callback(result);
+            return;
+        }
+        try {
+            for (const auto &item : nlohmann::json::parse(answer.body)) {
+                result.names.push_back({item.at("key").get<std::string>(), item.at("version").get<std::uint64_t>()});
+            }
+        } catch (const nlohmann::json::exception &) {
+            result.kind = ErrorKind::PlatformUnavailable;
+        }
+        callback(result);
+    });
+}
+}
--- /dev/null
+++ b/src/standin/objecttable.cpp
@@ -0,0 +1,44 @@
+#include "standin/objecttable.h"
+
+namespace figpulley::standin
+{
+using core::ErrorKind;
+using platform::StoreResult;
+
+StoreResult ObjectTable::get(const std::string &key) const
+{
+    const auto found = this->objects.find(key);
+    if (found == this->objects.end()) {
+        return {ErrorKind::NotFound, {}};
+    }
+    return {ErrorKind::None, found->second};
+}
+
+StoreResult ObjectTable::put(const std::string &key, const std::string &value, platform::WriteCondition condition)
+{
+    if (value.size() > platform::largestValue) {
+        return {ErrorKind::BodyTooLarge, {}};
+    }
+    const auto found = this->objects.find(key);
+    const auto present = found == this->objects.end() ? 0 : found->second.version;
+    if (condition.version && *condition.version != present) {
+        return {ErrorKind::Conflict, {"", present}};
+    }
+    this->objects[key] = {value, ++this->lastVersion};
+    return {ErrorKind::None, {"", this->lastVersion}};
+}
+
+platform::ListResult ObjectTable::list(const std::string &prefix) const
+{
+    platform::ListResult result;
+    for (auto at = this->objects.lower_bound(prefix); at != this->objects.end() && at->first.starts_with(prefix); ++at) {
+        result.names.push_back({at->first, at->second.version});
+    }
+    return result;
+}
+
+void ObjectTable::restore(const std::string &key, const platform::StoredObject &object)
+{
+    this->objects[key] = object;
+}
+}
--- /dev/null
+++ b/src/standin/objecttable.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "platform/objectstore.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace figpulley::standin
+{
+/// The stand-in platform's objects: versions, conditional writes, call counts.
+class ObjectTable
+{
+public:
+    [[nodiscard]] platform::StoreResult get(const std::string &key) const;
+    platform::StoreResult put(const std::string &key, const std::string &value, platform::WriteCondition condition);
+    [[nodiscard]] platform::ListResult list(const std::string &prefix) const;
+
+    /// Puts an object back to an older value and version, as a restored backup would.
+    void restore(const std::string &key, const platform::StoredObject &object);
+
+private:
+    std::map<std::string, platform::StoredObject> objects;
+    std::uint64_t lastVersion = 0;
+};
+}
--- /dev/null
+++ b/src/standin/platformserver.cpp
@@ -0,0 +1,200 @@
+#include "standin/platformserver.h"
+
+#include "net/query.h"
+
+#include <charconv>
+#include <chrono>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace figpulley::standin
+{
+namespace
+{
+using core::ErrorKind;
+using net::HttpAnswer;
+
+constexpr std::string_view objectPath = "/v1/objects/";
+constexpr std::string_view watchPath = "/v1/watch/";
+constexpr int httpNoContent = 204;
+constexpr int httpBadRequest = 400;
+constexpr int httpNotFound = 404;
+constexpr int httpPreconditionFailed = 412;
+constexpr int httpTooLarge = 413;
+constexpr int httpUnavailable = 503;
+constexpr std::uint64_t largestWatchMs = 60000;
+
+net::Headers versionHeader(std::uint64_t version)
+{
+    return {{"ETag", fmt::format("\"{}\"", version)}};
+}
+
+HttpAnswer answerOf(const platform::StoreResult &result)
+{
+    switch (result.kind) {
+    case ErrorKind::None:
+        return {200, versionHeader(result.object.version), result.object.value};
+    case ErrorKind::NotFound:
+        return {httpNotFound, {}, "no such object\n"};
+    case ErrorKind::Conflict:
+        return {httpPreconditionFailed, versionHeader(result.object.version), "the version differs\n"};
+    case ErrorKind::BodyTooLarge:
+        return {httpTooLarge, {}, "the value is larger than a megabyte\n"};
+    default:
+        return {httpUnavailable, {}, "unavailable\n"};
+    }
+}
+
+platform::WriteCondition conditionOf(const net::Headers &headers)
+{
+    platform::WriteCondition condition;
+    if (net::findHeader(headers, "If-None-Match") == "*") {
+        condition.version = 0;
+    }
+    auto tag = net::findHeader(headers, "If-Match");
+    if (tag.size() > 2) {
+        tag = tag.substr(1, tag.size() - 2);
+        std::uint64_t version = 0;
+        std::from_chars(tag.data(), tag.data() + tag.size(), version);
+        condition.version = version;
+    }
+    return condition;
+}
+}
+
+PlatformServer::PlatformServer(net::EventLoop &loop, const net::Address &address)
+    : loop(loop)
+    , server(loop, address, [this](const std::shared_ptr<net::HttpExchange> &exchange) { this->handle(exchange); }, {.bodyBytes = platform::largestValue + 1})
+{
+}
+
+PlatformServer::~PlatformServer() = default;
+
+net::Address PlatformServer::address() const
+{
+    return this->server.address();
+}
+
+const PlatformCounts &PlatformServer::counts() const noexcept
+{
+    return this->served;
+}
+
+void PlatformServer::setFaults(const PlatformFaults &wanted)
+{
+    this->faults = wanted;
+}
+
+void PlatformServer::reply(const std::shared_ptr<net::HttpExchange> &exchange, HttpAnswer answer)
+{
+    if (this->faults.delay.count() == 0) {
+        exchange->answer(std::move(answer));
+        return;
+    }
+    this->loop.after(this->faults.delay, [exchange, answer = std::move(answer)] { exchange->answer(answer); });
+}
+
+void PlatformServer::handle(const std::shared_ptr<net::HttpExchange> &exchange)
+{
+    const std::string_view path = exchange->request().path;
+    if (path.starts_with("/admin/")) {
+        this->handleAdmin(exchange);
+        return;
+    }
+    if (this->faults.isDown) {
+        this->reply(exchange, {httpUnavailable, {}, "the platform is down\n"});
+        return;
+    }
+    if (path.starts_with(objectPath)) {
+        this->handleObject(exchange, std::string(path.substr(objectPath.size())));
+    } else if (path.starts_with(watchPath)) {
+        this->handleWatch(exchange, std::string(path.substr(watchPath.size())));
+    } else if (path == "/v1/list") {
+        this->handleList(exchange);
+    } else {
+        this->reply(exchange, {httpNotFound, {}, "unknown path\n"});
+    }
+}
+
+void PlatformServer::handleObject(const std::shared_ptr<net::HttpExchange> &exchange, const std::string &key)
+{
+    const auto &request = exchange->request();
+    if (request.method != "PUT") {
+        ++this->served.reads;
+        this->reply(exchange, answerOf(this->table.get(key)));
+        return;
+    }
+    ++this->served.writes;
+    const auto result = this->table.put(key, request.body, conditionOf(request.headers));
+    if (result.kind == ErrorKind::None) {
+        this->wakeWatchers(key);
+    }
+    if (result.kind == ErrorKind::None && this->faults.answersToLose > 0) {
+        --this->faults.answersToLose;
+        this->reply(exchange, {httpUnavailable, {}, "the answer was lost\n"});
+        return;
+    }
+    this->reply(exchange, answerOf(result));
+}
+
+void PlatformServer::handleWatch(const std::shared_ptr<net::HttpExchange> &exchange, const std::string &key)
+{
+    ++this->served.watches;
+    const auto &query = exchange->request().query;
+    const auto known = net::queryNumber(query, "known").value_or(0);
+    const auto result = this->table.get(key);
+    if (result.kind == ErrorKind::None && result.object.version != known) {
+        this->reply(exchange, answerOf(result));
+        return;
+    }
+    const auto wait = std::min(net::queryNumber(query, "timeout_ms").value_or(largestWatchMs), largestWatchMs);
+    const auto watcher = this->watchers.insert(this->watchers.end(), {key, known, exchange});
+    watcher->timer = this->loop.after(std::chrono::milliseconds(wait), [this, watcher] {
+        this->reply(watcher->exchange, {httpNoContent, {}, {}});
+        this->watchers.erase(watcher);
+    });
+}
+
+void PlatformServer::wakeWatchers(const std::string &key)
+{
+    const auto result = this->table.get(key);
+    for (auto at = this->watchers.begin(); at != this->watchers.end();) {
+        if (at->key != key) {
+            ++at;
+            continue;
+        }
+        this->loop.cancel(at->timer);
+        this->reply(at->exchange, answerOf(result));
+        at = this->watchers.erase(at);
+    }
+}
+
+void PlatformServer::handleList(const std::shared_ptr<net::HttpExchange> &exchange)
+{
+    ++this->served.reads;
+    auto items = nlohmann::json::array();
+    for (const auto &name : this->table.list(net::queryText(exchange->request().query, "prefix")).names) {
+        items.push_back({{"key", name.key}, {"version", name.version}});
+    }
+    this->reply(exchange, {200, {{"Content-Type", "application/json"}}, items.dump()});
+}
+
+void PlatformServer::handleAdmin(const std::shared_ptr<net::HttpExchange> &exchange)
+{
+    if (exchange->request().path == "/admin/counts") {
+        const nlohmann::json counts {{"reads", this->served.reads}, {"writes", this->served.writes}, {"watches", this->served.watches}};
+        exchange->answer({200, {{"Content-Type", "application/json"}}, counts.dump()});
+        return;
+    }
+    try {
+        const auto wanted = nlohmann::json::parse(exchange->request().body);
+        this->faults.isDown = wanted.value("down", false);
+        this->faults.delay = std::chrono::milliseconds(wanted.value("delay_ms", 0));
+        this->faults.answersToLose = wanted.value("lose_answers", 0);
+        exchange->answer({200, {}, "faults set\n"});
+    } catch (const nlohmann::json::exception &error) {
+        exchange->answer({httpBadRequest, {}, std::string(error.what()) + "\n"});
+    }
+}
+}
--- /dev/null
+++ b/src/sync/sync.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/// Umbrella header of the way of a configuration.
+#include "sync/applyprocess.h"
+#include "sync/configrelay.h"
+#include "sync/fwd.h"
+#include "sync/manifest.h"
+#include "sync/snapshot.h"
+#include "sync/snapshotstore.h"
--- /dev/null
+++ b/src/text/fwd.h
@@ -0,0 +1,12 @@
+#pragma once
+
+/// Forward declarations of the reader for JSON with comments.
+namespace figpulley::text
+{
+class ObjectReader;
+struct KeySpec;
+struct Member;
+struct Position;
+struct Problem;
+class Value;
+}
--- /dev/null
+++ b/src/text/text.h
@@ -0,0 +1,10 @@
+#pragma once
+
+/// Umbrella header of the reader for JSON with comments.
+#include "text/fwd.h"
+#include "text/keyspec.h"
+#include "text/objectreader.h"
+#include "text/parse.h"
+#include "text/position.h"
+#include "text/problem.h"
+#include "text/value.h"
--- /dev/null
+++ b/src/text/value.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "text/position.h"
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace figpulley::text
+{
+class Value;
+struct Member;
+
+using Array = std::vector<Value>;
+using Object = std::vector<Member>; ///< in the order of the source
+
+/// A JSON value that knows where it stands in its source text.
+class Value
+{
+public:
+    using Data = std::variant<std::monostate, bool, double, std::string, Array, Object>;
+
+    Value() = default;
+    Value(Position position, Data data);
+
+    [[nodiscard]] Position position() const noexcept;
+
+    /// @returns the value's content if it has type T, else nullptr
+    ///
+    /// Example: `if (const auto *text = value.as<std::string>()) { use(*text); }`
+    template<class T>
+    [[nodiscard]] const T *as() const noexcept
+    {
+        return std::get_if<T>(&this->data);
+    }
+
+    /// Finds a member of an object.
+    /// @returns nullptr if this is no object or has no such key
+    [[nodiscard]] const Value *find(std::string_view key) const noexcept;
+
+    /// Name of the value's type for messages, such as "a string".
+    [[nodiscard]] std::string_view typeName() const noexcept;
+
+private:
+    Position place;
+    Data data;
+};
+
+/// A key and its value.
+struct Member {
+    std::string key;
+    Position keyPosition;
+    Value value;
+};
+}
--- /dev/null
+++ b/src/trust/keyring.cpp
@@ -0,0 +1,69 @@
+#include "trust/keyring.h"
+
+#include <array>
+
+#include <fmt/format.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+namespace figpulley::trust
+{
+namespace
+{
+constexpr std::size_t tagBytes = 16;
+
+std::string tagOf(std::string_view secret, std::string_view text)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+    unsigned size = 0;
+    HMAC(EVP_sha256(),
+         secret.data(),
+         static_cast<int>(secret.size()),
+         reinterpret_cast<const unsigned char *>(text.data()),
+         text.size(),
+         digest.data(),
+         &size);
+    std::string tag;
+    tag.reserve(2 * tagBytes);
+    for (std::size_t at = 0; at < tagBytes; ++at) {
+        tag += fmt::format("{:02x}", digest[at]);
+    }
+    return tag;
+}
+}
+
+void KeyRing::add(std::string id, std::string secret)
+{
+    this->active = id;
+    this->keys.insert_or_assign(std::move(id), std::move(secret));
+}
+
+bool KeyRing::isEmpty() const noexcept
+{
+    return this->keys.empty();
+}
+
+std::string KeyRing::sign(std::string_view text) const
+{
+    if (this->keys.empty()) {
+        return {};
+    }
+    return this->active + ":" + tagOf(this->keys.at(this->active), text);
+}
+
+bool KeyRing::isValid(std::string_view text, std::string_view signature) const
+{
+    const auto colon = signature.rfind(':');
+    if (colon == std::string_view::npos) {
+        return false;
+    }
+    const auto key = this->keys.find(signature.substr(0, colon));
+    if (key == this->keys.end()) {
+        return false;
+    }
+    const auto expected = tagOf(key->second, text);
+    const auto given = signature.substr(colon + 1);
+    return given.size() == expected.size() && CRYPTO_memcmp(given.data(), expected.data(), expected.size()) == 0;
+}
+}
