--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -38,12 +38,13 @@
 public:
     using ReadyCallback = std::function<void(bool, bool)>;
 
+    // One handler serves a descriptor's number for the life of the loop. libcurl may close a socket before it ends the watch;
+    // the reactor then cannot remove the handler, and would be left with a pointer to it.
     class DescriptorHandler : public ACE_Event_Handler
     {
     public:
-        DescriptorHandler(int descriptor, ReadyCallback onReady)
+        explicit DescriptorHandler(int descriptor)
             : descriptor(descriptor)
-            , onReady(std::move(onReady))
         {
         }
         ACE_HANDLE get_handle() const override
@@ -52,16 +53,24 @@
         }
         int handle_input(ACE_HANDLE /*handle*/) override
         {
-            this->onReady(true, false);
+            this->notify(true, false);
             return 0;
         }
         int handle_output(ACE_HANDLE /*handle*/) override
         {
-            this->onReady(false, true);
+            this->notify(false, true);
             return 0;
         }
+        void notify(bool isReadable, bool isWritable) const
+        {
+            // The callback may end its own watch.
+            if (const auto callback = this->onReady) {
+                (*callback)(isReadable, isWritable);
+            }
+        }
         int descriptor;
-        ReadyCallback onReady;
+        std::shared_ptr<const ReadyCallback> onReady; // null while the descriptor is not watched
+        bool isStale = false; // the reactor still has the handler of a descriptor that was closed
     };
 
     class TimerHandler : public ACE_Event_Handler
@@ -105,20 +114,6 @@
     {
     }
 
-    // The reactor must not be left with pointers to handlers that are about to go.
-    ~Implementation()
-    {
-        for (const auto &[id, timer] : this->timers) {
-            this->reactor.cancel_timer(id);
-        }
-        for (const auto &[descriptor, handler] : this->descriptors) {
-            this->reactor.remove_handler(handler.get(), ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
-        }
-    }
-
-    Implementation(const Implementation &) = delete;
-    Implementation &operator=(const Implementation &) = delete;
-
     void run()
     {
         this->reactor.owner(ACE_Thread::self());
@@ -129,7 +124,6 @@
             for (const auto &callback : this->turnEnd) {
                 callback();
             }
-            this->graveyard.clear();
             this->timerGraveyard.clear();
         }
         this->runPosted();
@@ -169,16 +163,15 @@
         this->timerGraveyard.push_back(std::move(timer));
     }
 
-    ACE_Reactor reactor;
     Wakeup wakeup;
     std::atomic<bool> isStopped {false};
     std::mutex mutex;
     std::vector<Callback> posted;
     std::vector<Callback> turnEnd;
     std::unordered_map<int, std::unique_ptr<DescriptorHandler>> descriptors;
-    std::vector<std::unique_ptr<DescriptorHandler>> graveyard; // handlers removed while one of them may be running
     std::unordered_map<long, std::shared_ptr<TimerHandler>> timers;
     std::vector<std::shared_ptr<TimerHandler>> timerGraveyard;
+    ACE_Reactor reactor; // the last member, so that it goes before the handlers that it points to
 };
 
 EventLoop::EventLoop()
@@ -238,26 +231,31 @@
     if (isWrite) {
         mask |= ACE_Event_Handler::WRITE_MASK;
     }
-    const auto found = self.descriptors.find(descriptor);
-    if (found != self.descriptors.end()) {
-        self.reactor.mask_ops(found->second.get(), mask, ACE_Reactor::SET_MASK);
-        return;
+    auto &handler = self.descriptors[descriptor];
+    if (!handler) {
+        handler = std::make_unique<Implementation::DescriptorHandler>(descriptor);
+    }
+    const bool isWatched = handler->onReady != nullptr;
+    if (!isWatched) {
+        handler->onReady = std::make_shared<const Implementation::ReadyCallback>(std::move(onReady));
+        self.reactor.register_handler(handler.get(), mask);
+    }
+    if (isWatched || handler->isStale) {
+        self.reactor.mask_ops(handler.get(), mask, ACE_Reactor::SET_MASK);
     }
-    auto handler = std::make_unique<Implementation::DescriptorHandler>(descriptor, std::move(onReady));
-    self.reactor.register_handler(handler.get(), mask);
-    self.descriptors.emplace(descriptor, std::move(handler));
+    handler->isStale = false;
 }
 
 void EventLoop::unwatch(int descriptor)
 {
     auto &self = *this->implementation;
     const auto found = self.descriptors.find(descriptor);
-    if (found == self.descriptors.end()) {
+    if (found == self.descriptors.end() || !found->second->onReady) {
         return;
     }
-    self.reactor.remove_handler(found->second.get(), ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
-    self.graveyard.push_back(std::move(found->second));
-    self.descriptors.erase(found);
+    auto &handler = *found->second;
+    handler.onReady.reset();
+    handler.isStale = self.reactor.remove_handler(&handler, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL) == -1;
 }
 
 void EventLoop::onTurnEnd(Callback callback)
