--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	git ls-files -co --exclude-standard '*.cpp' '*.h' | xargs clang-format-14 --dry-run --Werror
 
 lint: build
-	git ls-files -co --exclude-standard 'src/*.cpp' | xargs -P 6 -n 4 clang-tidy-14 -p $(BUILD) --quiet
+	git ls-files -co --exclude-standard 'src/*.cpp' | xargs -P 6 -n 4 clang-tidy-14 -p $(BUILD) --quiet --extra-arg=-Wno-unknown-warning-option
 
 sanitize:
 	cmake --preset sanitize >/dev/null
--- a/src/alerts/rulefile.h
+++ b/src/alerts/rulefile.h
@@ -9,11 +9,22 @@
 class RuleFileReader
 {
 public:
-    explicit RuleFileReader(text::Problems &problems) : problems(problems) {}
-    void addRules(const std::string &, const text::Value &) {}
-    void addMapping(const std::string &, const text::Value &) {}
-    std::shared_ptr<const RuleSet> finish() { return std::make_shared<RuleSet>(); }
+    explicit RuleFileReader(text::Problems &problems)
+        : problems(problems)
+    {
+    }
+    void addRules(const std::string &, const text::Value &)
+    {
+    }
+    void addMapping(const std::string &, const text::Value &)
+    {
+    }
+    std::shared_ptr<const RuleSet> finish()
+    {
+        return std::make_shared<RuleSet>();
+    }
+
 private:
     [[maybe_unused]] text::Problems &problems;
 };
-}
+} // namespace figpulley::alerts
--- a/src/alerts/ruleset.h
+++ b/src/alerts/ruleset.h
@@ -2,6 +2,7 @@
 namespace figpulley::alerts
 {
 /// All alert rules in force.
-struct RuleSet {
+struct RuleSet
+{
 };
-}
+} // namespace figpulley::alerts
--- a/src/bench/benchfiles.cpp
+++ b/src/bench/benchfiles.cpp
@@ -56,14 +56,18 @@
                           {"idempotent", demand.isIdempotent}});
     }
     levels.push_back("probe");
-    routes.push_back({{"name", "probe"}, {"service", deployment.services.front().name}, {"path_prefix", "/probe"}, {"level", "probe"}, {"idempotent", true}});
+    routes.push_back({{"name", "probe"},
+                      {"service", deployment.services.front().name},
+                      {"path_prefix", "/probe"},
+                      {"level", "probe"},
+                      {"idempotent", true}});
     const json document {{"kind", "request-priorities"}, {"name", deployment.name}, {"levels", levels}, {"routes", routes}};
     return {"priorities.json", document.dump(1)};
 }
-}
+} // namespace
 
 std::vector<config::SourceFile> benchFiles(const Deployment &deployment, const ExperimentOptions &options)
 {
     return {policyFile(deployment, options), prioritiesFile(deployment)};
 }
-}
+} // namespace figpulley::bench
--- a/src/bench/deployment.cpp
+++ b/src/bench/deployment.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace figpulley::bench
 {
@@ -19,7 +20,7 @@
 
 int scaled(int count)
 {
-    return std::max(1, static_cast<int>(count * benchScale + 0.5));
+    return std::max(1, static_cast<int>(std::lround(count * benchScale)));
 }
 
 UpstreamRoute work(core::Duration time, std::vector<NestedCall> nested, std::size_t bytes = smallAnswer)
@@ -77,11 +78,12 @@
     };
     return deployment;
 }
-}
+} // namespace
 
 double Deployment::deepCapacity() const
 {
-    const auto found = std::find_if(this->services.begin(), this->services.end(), [this](const ServiceModel &service) { return service.name == this->deepService; });
+    const auto found = std::find_if(this->services.begin(), this->services.end(),
+                                    [this](const ServiceModel &service) { return service.name == this->deepService; });
     return found->endpoints * found->slots / core::toSeconds(found->routes.front().serviceTime);
 }
 
@@ -97,4 +99,4 @@
     }
     return nullptr;
 }
-}
+} // namespace figpulley::bench
--- a/src/bench/deployment.h
+++ b/src/bench/deployment.h
@@ -10,7 +10,8 @@
 namespace figpulley::bench
 {
 /// One service of a deployment.
-struct ServiceModel {
+struct ServiceModel
+{
     std::string name;
     int endpoints = 0;
     int slots = 0; ///< of one endpoint
@@ -19,7 +20,8 @@
 };
 
 /// One kind of call that clients make.
-struct DemandModel {
+struct DemandModel
+{
     std::string route; ///< name in the priorities file
     std::string service;
     std::string method;
@@ -32,7 +34,8 @@
 };
 
 /// One of the users' businesses, as their brief gives it.
-struct Deployment {
+struct Deployment
+{
     std::string name;
     std::string region;
     std::vector<std::string> zones;
@@ -49,4 +52,4 @@
 /// @param name "caltagirone" or "kovacic"
 /// @returns nullptr if it is unknown
 [[nodiscard]] const Deployment *findDeployment(std::string_view name);
-}
+} // namespace figpulley::bench
--- a/src/bench/experiment.cpp
+++ b/src/bench/experiment.cpp
@@ -74,7 +74,8 @@
 void showProgress(const ExperimentOptions &options, const LoadGenerator &load, double elapsed, double total)
 {
     if (!options.isQuiet && isatty(STDERR_FILENO) != 0) {
-        fmt::print(stderr, "\r{} {} {}: {:.0f} of {:.0f} s, {} calls sent ", options.deployment, name(options.scenario), name(options.control), elapsed, total, load.sent());
+        fmt::print(stderr, "\r{} {} {}: {:.0f} of {:.0f} s, {} calls sent ", options.deployment, name(options.scenario),
+                   name(options.control), elapsed, total, load.sent());
     }
 }
 
@@ -89,7 +90,7 @@
         std::this_thread::sleep_for(std::min<std::chrono::duration<double>>(100ms, std::chrono::duration<double>(until - elapsed)));
     }
 }
-}
+} // namespace
 
 bool ExperimentReport::isSafe() const noexcept
 {
@@ -104,7 +105,8 @@
     }
     Testbed testbed(*deployment, options);
     testbed.settle();
-    const auto probe = probeLatency(testbed.entrances(), testbed.upstreamOf(deployment->services.front().name), deployment->services.front().name);
+    const auto probe =
+        probeLatency(testbed.entrances(), testbed.upstreamOf(deployment->services.front().name), deployment->services.front().name);
 
     const auto begin = options.steadySeconds;
     const auto end = begin + options.disturbedSeconds;
@@ -139,9 +141,9 @@
     report.directP99Us = probe.directP99Us;
     report.addedP50Us = probe.addedP50Us;
     report.addedP99Us = probe.addedP99Us;
-    report.controlBytesPerNodeSecond =
-        static_cast<double>(testbed.controlBytes() - bytesBefore) / static_cast<double>(testbed.nodeCount()) / core::toSeconds(core::steadyNow() - origin);
+    report.controlBytesPerNodeSecond = static_cast<double>(testbed.controlBytes() - bytesBefore) / static_cast<double>(testbed.nodeCount())
+        / core::toSeconds(core::steadyNow() - origin);
     summarize(report, *deployment, records, testbed.log());
     return report;
 }
-}
+} // namespace figpulley::bench
--- a/src/bench/experiment.h
+++ b/src/bench/experiment.h
@@ -11,7 +11,8 @@
 namespace figpulley::bench
 {
 /// What became of the calls of one priority.
-struct PriorityReport {
+struct PriorityReport
+{
     std::string name;
     std::uint64_t offered = 0;
     std::uint64_t good = 0;
@@ -20,13 +21,15 @@
 };
 
 /// Good calls per second of each priority over time.
-struct GoodputSeries {
+struct GoodputSeries
+{
     std::string name;
     std::vector<double> perSecond; ///< one value per bucket
 };
 
 /// What one experiment measured.
-struct ExperimentReport {
+struct ExperimentReport
+{
     ExperimentOptions options;
     std::uint64_t offered = 0;
     double capacity = 0; ///< calls per second of the deep service, while disturbed
@@ -53,4 +56,4 @@
 /// Runs one experiment.
 /// @throws std::runtime_error if the testbed does not come up
 [[nodiscard]] ExperimentReport runExperiment(const ExperimentOptions &options);
-}
+} // namespace figpulley::bench
--- a/src/bench/experimentoptions.cpp
+++ b/src/bench/experimentoptions.cpp
@@ -21,7 +21,7 @@
     }
     return std::nullopt;
 }
-}
+} // namespace
 
 std::string_view name(Scenario scenario) noexcept
 {
@@ -42,4 +42,4 @@
 {
     return fromName<ControlMode>(modeNames, name);
 }
-}
+} // namespace figpulley::bench
--- a/src/bench/experimentoptions.h
+++ b/src/bench/experimentoptions.h
@@ -33,7 +33,8 @@
 [[nodiscard]] std::optional<ControlMode> controlModeFromName(std::string_view name) noexcept;
 
 /// One experiment on real nodes and stand-ins, over loopback.
-struct ExperimentOptions {
+struct ExperimentOptions
+{
     std::string deployment = "caltagirone";
     Scenario scenario = Scenario::Surge;
     ControlMode control = ControlMode::Full;
@@ -44,4 +45,4 @@
     double afterSeconds = 4;
     bool isQuiet = false; ///< no progress line
 };
-}
+} // namespace figpulley::bench
--- a/src/bench/fwd.h
+++ b/src/bench/fwd.h
@@ -8,4 +8,4 @@
 struct Deployment;
 struct ExperimentOptions;
 struct ExperimentReport;
-}
+} // namespace figpulley::bench
--- a/src/bench/latencyprobe.cpp
+++ b/src/bench/latencyprobe.cpp
@@ -36,7 +36,7 @@
     });
     return done.get_future().get();
 }
-}
+} // namespace
 
 LatencyProbe probeLatency(const std::vector<net::Address> &entrances, const net::Address &upstream, const std::string &service)
 {
@@ -62,4 +62,4 @@
     probe.addedP99Us = percentile(through, 0.99) - probe.directP99Us;
     return probe;
 }
-}
+} // namespace figpulley::bench
--- a/src/bench/latencyprobe.h
+++ b/src/bench/latencyprobe.h
@@ -8,7 +8,8 @@
 namespace figpulley::bench
 {
 /// Latency of a call straight to an upstream and through two nodes, on an idle testbed.
-struct LatencyProbe {
+struct LatencyProbe
+{
     double directP50Us = 0;
     double directP99Us = 0;
     double addedP50Us = 0;
@@ -16,5 +17,6 @@
 };
 
 /// Makes calls of both kinds in turn, 400 per second, at an upstream route that takes no time.
-[[nodiscard]] LatencyProbe probeLatency(const std::vector<net::Address> &entrances, const net::Address &upstream, const std::string &service);
-}
+[[nodiscard]] LatencyProbe probeLatency(const std::vector<net::Address> &entrances, const net::Address &upstream,
+                                        const std::string &service);
+} // namespace figpulley::bench
--- a/src/bench/loadgenerator.cpp
+++ b/src/bench/loadgenerator.cpp
@@ -24,13 +24,14 @@
 constexpr std::size_t largestAnswer = 4UL << 20U;
 constexpr std::uint64_t userCount = 100000;
 constexpr int httpOk = 200;
-}
+} // namespace
 
 /// One thread of clients; the workers share the rates evenly.
 class LoadGenerator::Worker
 {
 public:
-    Worker(const Deployment &deployment, std::vector<net::Address> entrances, Rate rate, Duration length, int clientAttempts, std::uint64_t seed, std::uint64_t firstWork)
+    Worker(const Deployment &deployment, std::vector<net::Address> entrances, Rate rate, Duration length, int clientAttempts,
+           std::uint64_t seed, std::uint64_t firstWork)
         : deployment(deployment)
         , entrances(std::move(entrances))
         , rate(std::move(rate))
@@ -70,7 +71,8 @@
     std::atomic<std::uint64_t> sentCount {0};
 
 private:
-    struct Pending {
+    struct Pending
+    {
         CallRecord record;
         std::string user;
     };
@@ -175,12 +177,8 @@
     std::unique_ptr<net::HttpClient> client;
 };
 
-LoadGenerator::LoadGenerator(const Deployment &deployment,
-                             std::vector<net::Address> entrances,
-                             Rate rate,
-                             Duration length,
-                             int clientAttempts,
-                             std::uint64_t seed)
+LoadGenerator::LoadGenerator(const Deployment &deployment, const std::vector<net::Address> &entrances, const Rate &rate, Duration length,
+                             int clientAttempts, std::uint64_t seed)
 {
     for (std::size_t at = 0; at < workerCount; ++at) {
         this->workers.push_back(std::make_unique<Worker>(deployment, entrances, rate, length, clientAttempts, seed + at * 104729, at + 1));
@@ -215,4 +213,4 @@
     }
     return sum;
 }
-}
+} // namespace figpulley::bench
--- a/src/bench/loadgenerator.h
+++ b/src/bench/loadgenerator.h
@@ -23,7 +23,8 @@
 };
 
 /// One client call, for the report.
-struct CallRecord {
+struct CallRecord
+{
     std::uint64_t work = 0;
     std::uint16_t demand = 0; ///< index in the deployment's demand
     CallResult result = CallResult::Failed;
@@ -43,7 +44,8 @@
     using Rate = std::function<double(const DemandModel &, core::Duration)>;
 
     /// @param clientAttempts of one call; further ones follow at once
-    LoadGenerator(const Deployment &deployment, std::vector<net::Address> entrances, Rate rate, core::Duration length, int clientAttempts, std::uint64_t seed);
+    LoadGenerator(const Deployment &deployment, const std::vector<net::Address> &entrances, const Rate &rate, core::Duration length,
+                  int clientAttempts, std::uint64_t seed);
     ~LoadGenerator();
     LoadGenerator(const LoadGenerator &) = delete;
     LoadGenerator &operator=(const LoadGenerator &) = delete;
@@ -61,4 +63,4 @@
 
     std::vector<std::unique_ptr<Worker>> workers;
 };
-}
+} // namespace figpulley::bench
--- a/src/bench/percentile.h
+++ b/src/bench/percentile.h
@@ -15,4 +15,4 @@
     const auto at = static_cast<std::size_t>(share * static_cast<double>(samples.size() - 1));
     return samples[at];
 }
-}
+} // namespace figpulley::bench
--- a/src/bench/summary.cpp
+++ b/src/bench/summary.cpp
@@ -21,7 +21,8 @@
 
 PriorityReport &priorityOf(ExperimentReport &report, const std::string &name)
 {
-    const auto found = std::find_if(report.priorities.begin(), report.priorities.end(), [&](const PriorityReport &priority) { return priority.name == name; });
+    const auto found = std::find_if(report.priorities.begin(), report.priorities.end(),
+                                    [&](const PriorityReport &priority) { return priority.name == name; });
     if (found != report.priorities.end()) {
         return *found;
     }
@@ -79,7 +80,8 @@
     report.goodputRatio = possible > 0 ? deepGood / possible : 0;
 }
 
-void countInvariants(ExperimentReport &report, const Deployment &deployment, const std::vector<CallRecord> &records, const standin::RunLog &log)
+void countInvariants(ExperimentReport &report, const Deployment &deployment, const std::vector<CallRecord> &records,
+                     const standin::RunLog &log)
 {
     double attempts = 0;
     double busy = 0;
@@ -125,7 +127,8 @@
             }
         }
     }
-    const auto first = bucketOf(core::Duration(static_cast<std::int64_t>((report.options.steadySeconds + report.options.disturbedSeconds) * 1e6)));
+    const auto first =
+        bucketOf(core::Duration(static_cast<std::int64_t>((report.options.steadySeconds + report.options.disturbedSeconds) * 1e6)));
     report.recoverySeconds = -1;
     for (auto at = first; at + recoveryBuckets < buckets; ++at) {
         double wantedSum = 0;
@@ -140,7 +143,7 @@
         }
     }
 }
-}
+} // namespace
 
 void summarize(ExperimentReport &report, const Deployment &deployment, const std::vector<CallRecord> &records, const standin::RunLog &log)
 {
@@ -154,7 +157,8 @@
 {
     nlohmann::ordered_json priorities = nlohmann::ordered_json::object();
     for (const auto &priority : report.priorities) {
-        priorities[priority.name] = {{"offered", priority.offered}, {"good", priority.good}, {"shed", priority.shed}, {"failed", priority.failed}};
+        priorities[priority.name] = {
+            {"offered", priority.offered}, {"good", priority.good}, {"shed", priority.shed}, {"failed", priority.failed}};
     }
     const nlohmann::ordered_json document {
         {"deployment", report.options.deployment},
@@ -197,18 +201,15 @@
     }
     const auto x = [&](double bucket) { return margin + bucket / static_cast<double>(buckets) * (width - 2 * margin); };
     const auto y = [&](double value) { return height - margin - value / top * (height - 2 * margin); };
-    auto svg = fmt::format("<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{}\" height=\"{}\" font-family=\"sans-serif\" font-size=\"12\">\n"
-                           "<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n"
-                           "<text x=\"{}\" y=\"20\">{} {} {}: good calls per second by priority</text>\n",
-                           width,
-                           height,
-                           margin,
-                           report.options.deployment,
-                           name(report.options.scenario),
-                           name(report.options.control));
+    auto svg =
+        fmt::format("<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{}\" height=\"{}\" font-family=\"sans-serif\" font-size=\"12\">\n"
+                    "<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n"
+                    "<text x=\"{}\" y=\"20\">{} {} {}: good calls per second by priority</text>\n",
+                    width, height, margin, report.options.deployment, name(report.options.scenario), name(report.options.control));
     const auto begin = report.options.steadySeconds / report.bucketSeconds;
     const auto end = begin + report.options.disturbedSeconds / report.bucketSeconds;
-    svg += fmt::format("<rect x=\"{}\" y=\"{}\" width=\"{}\" height=\"{}\" fill=\"#f4e9d8\"/>\n", x(begin), y(top), x(end) - x(begin), y(0) - y(top));
+    svg += fmt::format("<rect x=\"{}\" y=\"{}\" width=\"{}\" height=\"{}\" fill=\"#f4e9d8\"/>\n", x(begin), y(top), x(end) - x(begin),
+                       y(0) - y(top));
     for (std::size_t index = 0; index < report.series.size(); ++index) {
         const auto &series = report.series[index];
         const auto *colour = colours[index % colours.size()];
@@ -216,15 +217,12 @@
         for (std::size_t bucket = 0; bucket < series.perSecond.size(); ++bucket) {
             svg += fmt::format("{:.1f},{:.1f} ", x(static_cast<double>(bucket)), y(series.perSecond[bucket]));
         }
-        svg += fmt::format("\"/>\n<text x=\"{}\" y=\"{}\" fill=\"{}\">{}</text>\n", margin + 120.0 * static_cast<double>(index), height - 10, colour, series.name);
+        svg += fmt::format("\"/>\n<text x=\"{}\" y=\"{}\" fill=\"{}\">{}</text>\n", margin + 120.0 * static_cast<double>(index),
+                           height - 10, colour, series.name);
     }
     svg += fmt::format("<text x=\"5\" y=\"{}\">{:.0f}/s</text>\n<text x=\"5\" y=\"{}\">0</text>\n", y(top) + 4, top, y(0) + 4);
-    svg += fmt::format("<text x=\"{}\" y=\"{}\">0 s</text>\n<text x=\"{}\" y=\"{}\">{:.0f} s</text>\n</svg>\n",
-                       x(0),
-                       y(0) + 16,
-                       x(static_cast<double>(buckets)) - 20,
-                       y(0) + 16,
-                       static_cast<double>(buckets) * report.bucketSeconds);
+    svg += fmt::format("<text x=\"{}\" y=\"{}\">0 s</text>\n<text x=\"{}\" y=\"{}\">{:.0f} s</text>\n</svg>\n", x(0), y(0) + 16,
+                       x(static_cast<double>(buckets)) - 20, y(0) + 16, static_cast<double>(buckets) * report.bucketSeconds);
     return svg;
 }
-}
+} // namespace figpulley::bench
--- a/src/bench/summary.h
+++ b/src/bench/summary.h
@@ -14,4 +14,4 @@
 
 /// Draws goodput over time by priority as an SVG picture.
 [[nodiscard]] std::string toSvg(const ExperimentReport &report);
-}
+} // namespace figpulley::bench
--- a/src/bench/testbed.cpp
+++ b/src/bench/testbed.cpp
@@ -19,7 +19,7 @@
 constexpr auto settlePoll = 50ms;
 constexpr core::Duration platformTimeout = 3s;
 const net::Address anyPort {"127.0.0.1", 0};
-}
+} // namespace
 
 Testbed::Testbed(const Deployment &deployment, const ExperimentOptions &options)
     : deployment(deployment)
@@ -40,7 +40,8 @@
             vm->zone = deployment.zones[static_cast<std::size_t>(endpoint) % deployment.zones.size()];
             vm->upstreamThread = this->threads[nodeThreads + 1].get();
             vm->nodeThread = this->threads[this->vms.size() % nodeThreads].get();
-            const bool isHeldBack = options.scenario == Scenario::ColdStart && service.name == deployment.deepService && endpoint + 1 == service.endpoints;
+            const bool isHeldBack =
+                options.scenario == Scenario::ColdStart && service.name == deployment.deepService && endpoint + 1 == service.endpoints;
             if (!isHeldBack) {
                 this->startVm(*vm, service, false);
             }
@@ -223,4 +224,4 @@
 {
     return this->started;
 }
-}
+} // namespace figpulley::bench
--- a/src/bench/testbed.h
+++ b/src/bench/testbed.h
@@ -15,7 +15,8 @@
 namespace figpulley::bench
 {
 /// One VM of an experiment: an upstream and the node beside it.
-struct TestVm {
+struct TestVm
+{
     std::string service;
     std::string zone;
     net::LoopThread *upstreamThread = nullptr;
@@ -68,4 +69,4 @@
     std::string firstControl;
     std::size_t started = 0;
 };
-}
+} // namespace figpulley::bench
--- a/src/board/admissionstate.h
+++ b/src/board/admissionstate.h
@@ -16,7 +16,8 @@
 static_assert(ranksPerBucket * rankBuckets == core::Rank::end);
 
 /// What the limit algorithms remember between windows; each uses the fields it needs.
-struct LimitState {
+struct LimitState
+{
     double limit = 0; ///< calls that may run at once; 0 before the first use
     double baseline = 0; ///< latency without queueing, in seconds; 0 if unknown
     double lastLatency = 0; ///< mean latency of the window before, in seconds
@@ -29,7 +30,8 @@
 };
 
 /// What happened in the present control window.
-struct WindowCounts {
+struct WindowCounts
+{
     core::TimePoint since {};
     std::uint32_t completed = 0;
     std::uint32_t overloadAnswers = 0; ///< upstream answers that say it sheds load
@@ -40,7 +42,8 @@
 };
 
 /// What the threshold is computed from; the counts decay, so that each is a moving sum.
-struct ThresholdCounts {
+struct ThresholdCounts
+{
     core::TimePoint since {};
     std::array<float, rankBuckets> arrivals {}; ///< by rank
     float started = 0;
@@ -49,7 +52,8 @@
 };
 
 /// Key in the queue: the highest rank first, and the earliest arrival within a rank.
-struct QueueKey {
+struct QueueKey
+{
     std::uint32_t inverseRank = 0;
     std::uint64_t sequence = 0;
 
@@ -57,7 +61,8 @@
 };
 
 /// A call that waits for its turn.
-struct QueuedCall {
+struct QueuedCall
+{
     core::EntryId entry {};
     core::Rank rank;
     core::TimePoint arrived {};
@@ -65,7 +70,8 @@
 };
 
 /// Admission at this node's ingress. Writer: AdmissionController.
-struct AdmissionState {
+struct AdmissionState
+{
     LimitState limit;
     WindowCounts window;
     int running = 0;
@@ -77,4 +83,4 @@
     std::uint64_t totalStarted = 0;
     std::uint64_t totalRefused = 0;
 };
-}
+} // namespace figpulley::board
--- a/src/board/attemptstate.h
+++ b/src/board/attemptstate.h
@@ -9,14 +9,16 @@
 namespace figpulley::board
 {
 /// An attempt id and the instant after which it may be forgotten.
-struct RememberedAttempt {
+struct RememberedAttempt
+{
     std::uint64_t id = 0;
     core::TimePoint forgetAt {};
 };
 
 /// Attempts that must not run again here. Writer: AttemptTable.
-struct AttemptState {
+struct AttemptState
+{
     std::unordered_set<std::uint64_t> ids;
     std::deque<RememberedAttempt> order; ///< by arrival
 };
-}
+} // namespace figpulley::board
--- a/src/board/blackboard.h
+++ b/src/board/blackboard.h
@@ -19,7 +19,8 @@
 namespace figpulley::board
 {
 /// Everything that the decisions of one node read and write. One thread; no clock, socket or random source.
-struct Blackboard {
+struct Blackboard
+{
     NodeIdentity identity;
     Section<ConfigState, decide::ConfigController> config;
     Section<MembershipState, members::Swim> membership;
@@ -33,4 +34,4 @@
     Section<AttemptState, decide::AttemptTable> attempts;
     Section<DrainState, decide::DrainController> drain;
 };
-}
+} // namespace figpulley::board
--- a/src/board/callstate.h
+++ b/src/board/callstate.h
@@ -13,7 +13,8 @@
 namespace figpulley::board
 {
 /// A call in this node's egress: a client's root call, or a nested call of the upstream.
-struct CallState {
+struct CallState
+{
     std::string service;
     std::string route; ///< of the root
     std::uint64_t root = 0;
@@ -36,7 +37,8 @@
 };
 
 /// Calls by id. Writer: CallController.
-struct CallTable {
+struct CallTable
+{
     std::unordered_map<std::uint64_t, CallState> calls;
 };
-}
+} // namespace figpulley::board
--- a/src/board/configstate.h
+++ b/src/board/configstate.h
@@ -5,7 +5,8 @@
 namespace figpulley::board
 {
 /// The configuration in force. Writer: ConfigController.
-struct ConfigState {
+struct ConfigState
+{
     config::ConfigurationPtr current; ///< null until the first write
 };
-}
+} // namespace figpulley::board
--- a/src/board/drainstate.h
+++ b/src/board/drainstate.h
@@ -7,7 +7,8 @@
 namespace figpulley::board
 {
 /// Whether this node takes new work. Writer: DrainController.
-struct DrainState {
+struct DrainState
+{
     bool isUpstreamDraining = false; ///< the upstream's own report
     std::optional<core::TimePoint> stopRequested; ///< when a planned stop of the node began
 
@@ -16,4 +17,4 @@
         return this->isUpstreamDraining || this->stopRequested.has_value();
     }
 };
-}
+} // namespace figpulley::board
--- a/src/board/endpoint.h
+++ b/src/board/endpoint.h
@@ -10,7 +10,8 @@
 namespace figpulley::board
 {
 /// One endpoint of a service, as membership knows it.
-struct Endpoint {
+struct Endpoint
+{
     core::NodeId node {};
     core::Incarnation incarnation {};
     std::string address; ///< ip:port of its node's ingress
@@ -21,7 +22,8 @@
 };
 
 /// Endpoints by service. Writer: MembershipController.
-struct EndpointState {
+struct EndpointState
+{
     std::map<std::string, std::vector<Endpoint>, std::less<>> byService;
 
     /// Endpoints of a service; empty if none is known.
@@ -32,4 +34,4 @@
         return found == this->byService.end() ? none : found->second;
     }
 };
-}
+} // namespace figpulley::board
--- a/src/board/fwd.h
+++ b/src/board/fwd.h
@@ -18,4 +18,4 @@
 struct RetryState;
 struct RoutingState;
 struct ShedState;
-}
+} // namespace figpulley::board
--- a/src/board/ledgerstate.h
+++ b/src/board/ledgerstate.h
@@ -11,7 +11,8 @@
 namespace figpulley::board
 {
 /// A call admitted at this ingress and not yet answered; its nested calls draw on its retry budget.
-struct LedgerEntry {
+struct LedgerEntry
+{
     core::CallEnvelope envelope;
     core::TimePoint arrived {};
     core::TimePoint deadline {};
@@ -26,8 +27,9 @@
 };
 
 /// Entries by id. Writer: Ledger.
-struct LedgerState {
+struct LedgerState
+{
     std::unordered_map<std::uint64_t, LedgerEntry> entries;
     std::unordered_multimap<std::uint64_t, std::uint64_t> entriesByTrace; ///< low half of the trace id to entry id
 };
-}
+} // namespace figpulley::board
--- a/src/board/membershipstate.h
+++ b/src/board/membershipstate.h
@@ -14,13 +14,15 @@
 namespace figpulley::board
 {
 /// An announcement that still has to be passed on.
-struct PendingGossip {
+struct PendingGossip
+{
     std::uint64_t node = 0;
     int sendsLeft = 0;
 };
 
 /// A probe that has not been answered.
-struct Probe {
+struct Probe
+{
     std::uint32_t sequence = 0;
     std::uint64_t node = 0;
     core::TimePoint sentAt {};
@@ -28,7 +30,8 @@
 };
 
 /// A ping made for another node.
-struct RelayedPing {
+struct RelayedPing
+{
     std::uint32_t ownSequence = 0;
     std::uint32_t askerSequence = 0;
     std::string asker;
@@ -36,14 +39,16 @@
 };
 
 /// What is known of a zone.
-struct ZoneView {
+struct ZoneView
+{
     core::TimePoint heardAt {}; ///< last message from any of its members
     std::uint64_t hash = 0; ///< of its live announcements
     std::uint32_t count = 0;
 };
 
 /// Members that are being fetched page by page.
-struct Pull {
+struct Pull
+{
     std::string peer;
     std::string zone; ///< empty for all zones
     std::vector<std::string> moreZones; ///< to be fetched from the same peer afterwards
@@ -54,7 +59,8 @@
 };
 
 /// Members as this node knows them. Writer: members::Swim.
-struct MembershipState {
+struct MembershipState
+{
     members::Announcement self;
     std::unordered_map<std::uint64_t, members::Member> members; ///< all but this node
     std::map<std::string, ZoneView> zones;
@@ -76,4 +82,4 @@
     bool isIsolated = false; ///< most probes fail: this node, not the others, is cut off
     core::TimePoint isolatedUntil {}; ///< claims of death wait at least until then
 };
-}
+} // namespace figpulley::board
--- a/src/board/nodeidentity.h
+++ b/src/board/nodeidentity.h
@@ -7,7 +7,8 @@
 namespace figpulley::board
 {
 /// Who this node is; fixed for the life of the process.
-struct NodeIdentity {
+struct NodeIdentity
+{
     core::NodeId id {};
     core::Incarnation incarnation {};
     std::string service; ///< service of the upstream on this VM
@@ -15,4 +16,4 @@
     std::string ingressAddress; ///< ip:port for calls from other nodes
     std::string controlAddress; ///< ip:port for control datagrams
 };
-}
+} // namespace figpulley::board
--- a/src/board/retrystate.h
+++ b/src/board/retrystate.h
@@ -11,14 +11,16 @@
 namespace figpulley::board
 {
 /// Tokens for retries towards one service.
-struct TokenBucket {
+struct TokenBucket
+{
     double tokens = 0;
     core::TimePoint updated {};
     bool isInitialised = false;
 };
 
 /// Caps on retries by service. Writer: RetryController.
-struct RetryState {
+struct RetryState
+{
     std::map<std::string, TokenBucket, std::less<>> buckets;
 };
-}
+} // namespace figpulley::board
--- a/src/board/routingstate.h
+++ b/src/board/routingstate.h
@@ -10,7 +10,8 @@
 namespace figpulley::board
 {
 /// This node's own view of one endpoint, from the calls that it made itself.
-struct EndpointView {
+struct EndpointView
+{
     core::Incarnation incarnation {};
     int outstanding = 0;
     double latency = 0; ///< moving average, in seconds; 0 before the first answer
@@ -22,7 +23,8 @@
 };
 
 /// Views by node. Writer: EndpointChooser.
-struct RoutingState {
+struct RoutingState
+{
     std::unordered_map<std::uint64_t, EndpointView> views;
 };
-}
+} // namespace figpulley::board
--- a/src/board/section.h
+++ b/src/board/section.h
@@ -28,4 +28,4 @@
 
     State state {};
 };
-}
+} // namespace figpulley::board
--- a/src/board/shedstate.h
+++ b/src/board/shedstate.h
@@ -8,13 +8,15 @@
 namespace figpulley::board
 {
 /// Threshold learnt from the answers along one path.
-struct PathThreshold {
+struct PathThreshold
+{
     double threshold = 0; ///< rank; moving average over answers
     core::TimePoint updated {};
 };
 
 /// Thresholds by path, that is root route and service called. Writer: EarlyShedder.
-struct ShedState {
+struct ShedState
+{
     std::unordered_map<std::uint64_t, PathThreshold> paths; ///< key: hash of route and service
 };
-}
+} // namespace figpulley::board
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -12,7 +12,8 @@
 inline constexpr int exitUsage = 2;
 
 /// One subcommand of the binary.
-struct Command {
+struct Command
+{
     std::string_view name;
     std::string_view arguments; ///< for the usage line
     std::string_view summary;
@@ -26,4 +27,4 @@
 /// @param arguments without the program's name
 /// @returns the exit code: 0, 1 for a failure, 2 for wrong usage
 int runCommandLine(const std::vector<std::string> &arguments);
-}
+} // namespace figpulley::cli
--- a/src/cli/commandline.cpp
+++ b/src/cli/commandline.cpp
@@ -27,7 +27,8 @@
 
 const Command *findCommand(std::string_view name)
 {
-    const auto found = std::find_if(commandTable.begin(), commandTable.end(), [name](const Command &command) { return command.name == name; });
+    const auto found =
+        std::find_if(commandTable.begin(), commandTable.end(), [name](const Command &command) { return command.name == name; });
     return found == commandTable.end() ? nullptr : &*found;
 }
 
@@ -43,7 +44,7 @@
         return exitFailed;
     }
 }
-}
+} // namespace
 
 std::span<const Command> commands() noexcept
 {
@@ -87,4 +88,4 @@
     }
     return runGuarded(*command, {arguments.begin() + 1, arguments.end()});
 }
-}
+} // namespace figpulley::cli
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -15,4 +15,4 @@
 int runStandin(const std::vector<std::string> &arguments);
 int runReference(const std::vector<std::string> &arguments);
 int runHelp(const std::vector<std::string> &arguments);
-}
+} // namespace figpulley::cli
--- a/src/cli/files.cpp
+++ b/src/cli/files.cpp
@@ -36,7 +36,7 @@
     std::sort(paths.begin(), paths.end());
     return paths;
 }
-}
+} // namespace
 
 leaf::result<std::string> readFile(const std::string &path)
 {
@@ -56,7 +56,8 @@
         for (const auto &file : expand(path)) {
             BOOST_LEAF_AUTO(text, readFile(file.string()));
             const auto name = file.filename().string();
-            const bool isKnown = std::any_of(files.begin(), files.end(), [&](const config::SourceFile &other) { return other.name == name; });
+            const bool isKnown =
+                std::any_of(files.begin(), files.end(), [&](const config::SourceFile &other) { return other.name == name; });
             if (isKnown) {
                 return core::failure(ErrorKind::InvalidFile, fmt::format("two files are named {}", name));
             }
@@ -78,4 +79,4 @@
     }
     return configuration != nullptr && (!isStrict || problems.empty());
 }
-}
+} // namespace figpulley::cli
--- a/src/cli/files.h
+++ b/src/cli/files.h
@@ -18,4 +18,4 @@
 /// Checks a set of files and prints every problem.
 /// @returns whether all are valid
 [[nodiscard]] bool checkAndPrint(const std::vector<config::SourceFile> &files, bool isStrict);
-}
+} // namespace figpulley::cli
--- a/src/cli/fwd.h
+++ b/src/cli/fwd.h
@@ -5,4 +5,4 @@
 {
 struct Command;
 class PlatformSession;
-}
+} // namespace figpulley::cli
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -32,4 +32,4 @@
 {
     throw cxxopts::exceptions::parsing(message);
 }
-}
+} // namespace figpulley::cli
--- a/src/cli/options.h
+++ b/src/cli/options.h
@@ -20,4 +20,4 @@
 
 /// Throws a usage error.
 [[noreturn]] void usageError(const std::string &message);
-}
+} // namespace figpulley::cli
--- a/src/cli/platformsession.cpp
+++ b/src/cli/platformsession.cpp
@@ -24,4 +24,4 @@
         this->client.reset();
     });
 }
-}
+} // namespace figpulley::cli
--- a/src/cli/platformsession.h
+++ b/src/cli/platformsession.h
@@ -36,4 +36,4 @@
     std::unique_ptr<net::HttpClient> client;
     std::unique_ptr<platform::HttpObjectStore> store;
 };
-}
+} // namespace figpulley::cli
--- a/src/cli/reference.cpp
+++ b/src/cli/reference.cpp
@@ -28,14 +28,15 @@
 
 std::string sectionTable(const text::SectionSpec &section)
 {
-    auto table = fmt::format("## {}\n\n{}\n\n| key | type | range | default | meaning |\n| --- | --- | --- | --- | --- |\n", section.name, section.doc);
+    auto table = fmt::format("## {}\n\n{}\n\n| key | type | range | default | meaning |\n| --- | --- | --- | --- | --- |\n", section.name,
+                             section.doc);
     for (const auto &spec : section.keys) {
         const auto fallback = spec.isRequired() ? std::string("required") : fmt::format("`{}`", spec.defaultText);
         table += fmt::format("| `{}` | {} | {} | {} | {} |\n", spec.key, name(spec.type), rangeOf(spec), fallback, spec.doc);
     }
     return table + "\n";
 }
-}
+} // namespace
 
 std::string referencePage()
 {
@@ -50,8 +51,9 @@
     page += "## Error kinds\n\nThe header `Figpulley-Kind` of an answer that figpulley itself makes.\n\n"
             "| kind | HTTP status | ran | another try | meaning |\n| --- | --- | --- | --- | --- |\n";
     for (const auto &row : core::errorTable()) {
-        page += fmt::format("| `{}` | {} | {} | {} | {} |\n", row.name, row.httpStatus, core::name(row.ran), row.retryable ? "may help" : "no", row.wording);
+        page += fmt::format("| `{}` | {} | {} | {} | {} |\n", row.name, row.httpStatus, core::name(row.ran),
+                            row.retryable ? "may help" : "no", row.wording);
     }
     return page;
 }
-}
+} // namespace figpulley::cli
--- a/src/cli/runapply.cpp
+++ b/src/cli/runapply.cpp
@@ -41,15 +41,17 @@
 // Best effort: a refusal that cannot be written down has still changed nothing.
 void auditRefusal(PlatformSession &session, const sync::ApplyRequest &request, const std::string &reason)
 {
-    const nlohmann::json entry {{"applied_by", request.appliedBy}, {"applied_at", request.appliedAt}, {"note", request.note}, {"refused", reason}};
+    const nlohmann::json entry {
+        {"applied_by", request.appliedBy}, {"applied_at", request.appliedAt}, {"note", request.note}, {"refused", reason}};
     const auto key = "figpulley/refused/" + request.appliedAt + "-" + request.applyId;
-    static_cast<void>(session.wait<platform::StoreResult>([&](platform::ObjectStore &store, auto callback) { store.put(key, entry.dump(1), {0}, callback); }));
+    static_cast<void>(session.wait<platform::StoreResult>(
+        [&](platform::ObjectStore &store, auto callback) { store.put(key, entry.dump(1), {0}, callback); }));
 }
 
 int applyFiles(PlatformSession &session, const sync::ApplyRequest &request)
 {
-    const auto result =
-        session.wait<sync::ApplyResult>([&](platform::ObjectStore &store, auto callback) { sync::ApplyProcess::start(store, request, callback); });
+    const auto result = session.wait<sync::ApplyResult>(
+        [&](platform::ObjectStore &store, auto callback) { sync::ApplyProcess::start(store, request, callback); });
     if (result.kind == core::ErrorKind::None) {
         fmt::print("{}\n", result.message);
         return exitOk;
@@ -60,17 +62,19 @@
     }
     return exitFailed;
 }
-}
+} // namespace
 
 int runApply(const std::vector<std::string> &arguments)
 {
-    auto options = makeOptions("apply", "Puts a set of files in force as a whole; what is not in the set is no longer in force.", "FILE...");
+    auto options =
+        makeOptions("apply", "Puts a set of files in force as a whole; what is not in the set is no longer in force.", "FILE...");
     options.add_options()("platform", "ip:port of the platform's object API", cxxopts::value<std::string>());
     options.add_options()("dry-run", "only show what would change");
     options.add_options()("by", "who applies, for the audit trail", cxxopts::value<std::string>()->default_value(operatorName()));
     options.add_options()("note", "why, for the audit trail", cxxopts::value<std::string>()->default_value(""));
     options.add_options()("base", "refuse unless this revision is in force", cxxopts::value<std::uint64_t>());
-    options.add_options()("above", "make the new revision exceed this one, after the platform was restored", cxxopts::value<std::uint64_t>());
+    options.add_options()("above", "make the new revision exceed this one, after the platform was restored",
+                          cxxopts::value<std::uint64_t>());
     const auto parsed = parseOptions(options, arguments);
     if (parsed.count("help") > 0) {
         fmt::print("{}", options.help());
@@ -116,4 +120,4 @@
         },
         [] { return exitFailed; });
 }
-}
+} // namespace figpulley::cli
--- a/src/cli/runbench.cpp
+++ b/src/cli/runbench.cpp
@@ -43,28 +43,27 @@
 
 void printReport(const bench::ExperimentReport &report)
 {
-    fmt::print("{} {} control={} seed={}\n", report.options.deployment, name(report.options.scenario), name(report.options.control), report.options.seed);
-    fmt::print("  goodput {:.1f}% of what the deep service can do, recovery {:.1f} s, wasted work {:.1f}%\n",
-               report.goodputRatio * 100,
-               report.recoverySeconds,
-               report.wastedWorkRatio * 100);
+    fmt::print("{} {} control={} seed={}\n", report.options.deployment, name(report.options.scenario), name(report.options.control),
+               report.options.seed);
+    fmt::print("  goodput {:.1f}% of what the deep service can do, recovery {:.1f} s, wasted work {:.1f}%\n", report.goodputRatio * 100,
+               report.recoverySeconds, report.wastedWorkRatio * 100);
     for (const auto &priority : report.priorities) {
-        fmt::print("  {:<12} offered {:>7}  good {:>7}  shed {:>7}  failed {:>6}\n", priority.name, priority.offered, priority.good, priority.shed, priority.failed);
+        fmt::print("  {:<12} offered {:>7}  good {:>7}  shed {:>7}  failed {:>6}\n", priority.name, priority.offered, priority.good,
+                   priority.shed, priority.failed);
     }
-    fmt::print("  attempts per root {:.3f} (largest {}), added latency p50 {:.0f} us, p99 {:.0f} us\n",
-               report.attemptsMean,
-               report.attemptsMax,
-               report.addedP50Us,
-               report.addedP99Us);
-    fmt::print("  repeats {}  not run but ran {}  short or foreign {}\n", report.nonIdempotentRepeats, report.notRunButRan, report.foreignAnswers);
-}
+    fmt::print("  attempts per root {:.3f} (largest {}), added latency p50 {:.0f} us, p99 {:.0f} us\n", report.attemptsMean,
+               report.attemptsMax, report.addedP50Us, report.addedP99Us);
+    fmt::print("  repeats {}  not run but ran {}  short or foreign {}\n", report.nonIdempotentRepeats, report.notRunButRan,
+               report.foreignAnswers);
 }
+} // namespace
 
 int runBench(const std::vector<std::string> &arguments)
 {
     auto options = makeOptions("bench", "Runs one experiment: real nodes and stand-ins on loopback, in this process.");
     options.add_options()("deployment", "caltagirone or kovacic", cxxopts::value<std::string>()->default_value("caltagirone"));
-    options.add_options()("scenario", "steady, surge, deep-slow, deep-slow-retrying, cold-start, lying-load", cxxopts::value<std::string>()->default_value("surge"));
+    options.add_options()("scenario", "steady, surge, deep-slow, deep-slow-retrying, cold-start, lying-load",
+                          cxxopts::value<std::string>()->default_value("surge"));
     options.add_options()("control", "full, none, per-hop-retries, static-limit", cxxopts::value<std::string>()->default_value("full"));
     options.add_options()("limit", "probing, gradient, aimd, pid, fixed", cxxopts::value<std::string>()->default_value("probing"));
     options.add_options()("seed", "of arrivals and decisions", cxxopts::value<std::uint64_t>()->default_value("1"));
@@ -88,4 +87,4 @@
     }
     return report.isSafe() ? exitOk : exitFailed;
 }
-}
+} // namespace figpulley::cli
--- a/src/cli/runcheck.cpp
+++ b/src/cli/runcheck.cpp
@@ -37,4 +37,4 @@
         },
         [] { return exitFailed; });
 }
-}
+} // namespace figpulley::cli
--- a/src/cli/rundemo.cpp
+++ b/src/cli/rundemo.cpp
@@ -31,7 +31,7 @@
     const auto recovery = report.recoverySeconds < 0 ? std::string("not") : fmt::format("{:.1f} s", report.recoverySeconds);
     fmt::print(" {:>9} {:>7.1f}% {:>8} {:>8}\n", recovery, report.wastedWorkRatio * 100, report.nonIdempotentRepeats, report.notRunButRan);
 }
-}
+} // namespace
 
 int runDemo(const std::vector<std::string> &arguments)
 {
@@ -62,4 +62,4 @@
     fmt::print("invariants: {}\n", isHeld ? "held" : "BROKEN");
     return isHeld ? exitOk : exitFailed;
 }
-}
+} // namespace figpulley::cli
--- a/src/cli/runhistory.cpp
+++ b/src/cli/runhistory.cpp
@@ -21,12 +21,7 @@
 
 void printManifest(const sync::Manifest &manifest, std::string_view mark)
 {
-    fmt::print("{}{:<6} {} {:<16} {}{}\n",
-               mark,
-               manifest.revision,
-               manifest.appliedAt,
-               manifest.appliedBy,
-               manifest.summary,
+    fmt::print("{}{:<6} {} {:<16} {}{}\n", mark, manifest.revision, manifest.appliedAt, manifest.appliedBy, manifest.summary,
                manifest.note.empty() ? "" : "  # " + manifest.note);
 }
 
@@ -49,7 +44,7 @@
         fmt::print("!{:<6} {} {:<16} {}\n", "", entry.value("applied_at", ""), entry.value("applied_by", ""), entry.value("refused", ""));
     }
 }
-}
+} // namespace
 
 int runHistory(const std::vector<std::string> &arguments)
 {
@@ -104,4 +99,4 @@
     printRefusals(session, limit);
     return exitOk;
 }
-}
+} // namespace figpulley::cli
--- a/src/cli/runnode.cpp
+++ b/src/cli/runnode.cpp
@@ -64,7 +64,7 @@
     core::log(cut == 0 ? core::LogLevel::Info : core::LogLevel::Warning, "node.stopped", {{"calls_cut", fmt::to_string(cut)}});
     return cut == 0 ? exitOk : exitFailed;
 }
-}
+} // namespace
 
 int runNode(const std::vector<std::string> &arguments)
 {
@@ -89,4 +89,4 @@
         },
         [] { return exitFailed; });
 }
-}
+} // namespace figpulley::cli
--- a/src/cli/runreference.cpp
+++ b/src/cli/runreference.cpp
@@ -18,4 +18,4 @@
     fmt::print("{}", referencePage());
     return exitOk;
 }
-}
+} // namespace figpulley::cli
--- a/src/cli/runstandin.cpp
+++ b/src/cli/runstandin.cpp
@@ -79,7 +79,7 @@
     serveUntilSignal(loop);
     return exitOk;
 }
-}
+} // namespace
 
 int runStandin(const std::vector<std::string> &arguments)
 {
@@ -107,4 +107,4 @@
     }
     usageError("say platform or upstream");
 }
-}
+} // namespace figpulley::cli
--- a/src/cli/runstatus.cpp
+++ b/src/cli/runstatus.cpp
@@ -42,22 +42,16 @@
         fmt::print("{:<22} unknown: it does not answer\n", address);
         return;
     }
-    fmt::print("{:<22} {:<12} {:<14} revision {:<6} limit {:<6.0f} running {:<5} queued {:<5} threshold {:<6}{}{}\n",
-               address,
-               status.value("availability_zone", ""),
-               status.value("service", "-"),
-               status.value("revision", 0),
-               status.value("limit", 0.0),
-               status.value("running", 0),
-               status.value("queued", 0),
-               status.value("threshold", 0),
-               status.value("leaving", false) ? " leaving" : "",
-               status.value("isolated", false) ? " isolated" : "");
+    fmt::print("{:<22} {:<12} {:<14} revision {:<6} limit {:<6.0f} running {:<5} queued {:<5} threshold {:<6}{}{}\n", address,
+               status.value("availability_zone", ""), status.value("service", "-"), status.value("revision", 0), status.value("limit", 0.0),
+               status.value("running", 0), status.value("queued", 0), status.value("threshold", 0),
+               status.value("leaving", false) ? " leaving" : "", status.value("isolated", false) ? " isolated" : "");
     if (const auto problem = status.value("config_problem", ""); !problem.empty()) {
         fmt::print("  config problem: {}\n", problem);
     }
     if (const auto older = status.value("platform_older_revision", 0); older != 0) {
-        fmt::print("  the platform holds the older revision {}: it was restored; apply with --above {}\n", older, status.value("revision", 0));
+        fmt::print("  the platform holds the older revision {}: it was restored; apply with --above {}\n", older,
+                   status.value("revision", 0));
     }
     const auto zones = status.value("zones", json::object());
     for (const auto &[zone, report] : zones.items()) {
@@ -66,7 +60,7 @@
         }
     }
 }
-}
+} // namespace
 
 int runStatus(const std::vector<std::string> &arguments)
 {
@@ -102,4 +96,4 @@
     thread.call([&] { client.reset(); });
     return isAllKnown ? exitOk : exitFailed;
 }
-}
+} // namespace figpulley::cli
--- a/src/cli/signalwatch.cpp
+++ b/src/cli/signalwatch.cpp
@@ -13,7 +13,7 @@
 {
     received.fetch_add(1);
 }
-}
+} // namespace
 
 void watchSignals() noexcept
 {
@@ -26,4 +26,4 @@
 {
     return received.load();
 }
-}
+} // namespace figpulley::cli
--- a/src/cli/signalwatch.h
+++ b/src/cli/signalwatch.h
@@ -7,4 +7,4 @@
 
 /// Signals received since watchSignals().
 [[nodiscard]] int signalsReceived() noexcept;
-}
+} // namespace figpulley::cli
--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -15,7 +15,8 @@
 namespace figpulley::config
 {
 /// Everything the operators' files say, compiled; immutable once built and shared by reference.
-struct Configuration {
+struct Configuration
+{
     std::uint64_t revision = 0; ///< of the platform's root object; 0 before any file was applied
     OverloadPolicy overload;
     RequestPriorities priorities;
@@ -23,4 +24,4 @@
 };
 
 using ConfigurationPtr = std::shared_ptr<const Configuration>;
-}
+} // namespace figpulley::config
--- a/src/config/filekind.cpp
+++ b/src/config/filekind.cpp
@@ -8,7 +8,7 @@
 {
 constexpr std::array<std::string_view, 4> names {"overload-policy", "request-priorities", "alert-rules", "metric-mapping"};
 static_assert(names.size() == static_cast<std::size_t>(FileKind::MetricMapping) + 1);
-}
+} // namespace
 
 std::string_view name(FileKind kind) noexcept
 {
@@ -24,4 +24,4 @@
     }
     return std::nullopt;
 }
-}
+} // namespace figpulley::config
--- a/src/config/filekind.h
+++ b/src/config/filekind.h
@@ -19,4 +19,4 @@
 
 /// Finds a kind by its name.
 [[nodiscard]] std::optional<FileKind> fileKindFromName(std::string_view name) noexcept;
-}
+} // namespace figpulley::config
--- a/src/config/fwd.h
+++ b/src/config/fwd.h
@@ -13,4 +13,4 @@
 struct Route;
 struct ServicePolicy;
 struct SourceFile;
-}
+} // namespace figpulley::config
--- a/src/config/limitalgorithm.cpp
+++ b/src/config/limitalgorithm.cpp
@@ -8,7 +8,7 @@
 {
 constexpr std::array<std::string_view, 5> names {"probing", "gradient", "aimd", "pid", "fixed"};
 static_assert(names.size() == static_cast<std::size_t>(LimitAlgorithm::Fixed) + 1);
-}
+} // namespace
 
 std::string_view name(LimitAlgorithm algorithm) noexcept
 {
@@ -24,4 +24,4 @@
     }
     return std::nullopt;
 }
-}
+} // namespace figpulley::config
--- a/src/config/limitalgorithm.h
+++ b/src/config/limitalgorithm.h
@@ -20,4 +20,4 @@
 
 /// Finds an algorithm by its name.
 [[nodiscard]] std::optional<LimitAlgorithm> limitAlgorithmFromName(std::string_view name) noexcept;
-}
+} // namespace figpulley::config
--- a/src/config/load.cpp
+++ b/src/config/load.cpp
@@ -105,7 +105,8 @@
     } else if (reader.find("level") != nullptr) {
         const auto guess = text::nearest(reader.string("level"), {levels.begin(), levels.end()});
         reader.report("level",
-                      fmt::format("\"{}\" is not one of the levels{}", reader.string("level"), guess.empty() ? "" : fmt::format("; did you mean \"{}\"?", guess)));
+                      fmt::format("\"{}\" is not one of the levels{}", reader.string("level"),
+                                  guess.empty() ? "" : fmt::format("; did you mean \"{}\"?", guess)));
     }
     if (reader.find("deadline_ms") != nullptr) {
         route.deadline = milliseconds(reader.integer("deadline_ms"));
@@ -140,14 +141,15 @@
     const auto *kind = root.find("kind");
     const auto *text = kind != nullptr ? kind->as<std::string>() : nullptr;
     if (text == nullptr) {
-        problems.push_back({file.name, root.position(), "the file lacks \"kind\": overload-policy, request-priorities, alert-rules or metric-mapping"});
+        problems.push_back(
+            {file.name, root.position(), "the file lacks \"kind\": overload-policy, request-priorities, alert-rules or metric-mapping"});
         return std::nullopt;
     }
     const auto found = fileKindFromName(*text);
     if (!found) {
-        problems.push_back({file.name,
-                            kind->position(),
-                            fmt::format("unknown kind \"{}\"; known: overload-policy, request-priorities, alert-rules, metric-mapping", *text)});
+        problems.push_back(
+            {file.name, kind->position(),
+             fmt::format("unknown kind \"{}\"; known: overload-policy, request-priorities, alert-rules, metric-mapping", *text)});
     }
     return found;
 }
@@ -157,7 +159,7 @@
 {
     return kind == FileKind::OverloadPolicy || kind == FileKind::RequestPriorities;
 }
-}
+} // namespace
 
 std::shared_ptr<Configuration> load(const std::vector<SourceFile> &files, Problems &problems)
 {
@@ -216,4 +218,4 @@
     }();
     return builtIn;
 }
-}
+} // namespace figpulley::config
--- a/src/config/load.h
+++ b/src/config/load.h
@@ -18,4 +18,4 @@
 
 /// The policy that holds before any file has reached a node.
 [[nodiscard]] ConfigurationPtr builtInConfiguration();
-}
+} // namespace figpulley::config
--- a/src/config/overloadpolicy.cpp
+++ b/src/config/overloadpolicy.cpp
@@ -41,7 +41,7 @@
 const text::SectionSpec fileSection {"overload-policy", "How much each service takes, and how often calls are retried.", fileKeys};
 const text::SectionSpec rootSection {"overload-policy roots", "Limits of each root call.", rootKeys};
 const text::SectionSpec serviceSection {"overload-policy service", "One service's endpoints.", serviceKeys};
-}
+} // namespace
 
 const ServicePolicy &OverloadPolicy::forService(std::string_view service) const noexcept
 {
@@ -63,4 +63,4 @@
 {
     return rootSection;
 }
-}
+} // namespace figpulley::config
--- a/src/config/overloadpolicy.h
+++ b/src/config/overloadpolicy.h
@@ -10,7 +10,8 @@
 namespace figpulley::config
 {
 /// How the ingress of one service's endpoints admits calls, and how callers retry towards it.
-struct ServicePolicy {
+struct ServicePolicy
+{
     LimitAlgorithm limitAlgorithm = LimitAlgorithm::Probing;
     int limitInitial = 0; ///< calls running at once
     int limitMinimum = 0;
@@ -26,7 +27,8 @@
 };
 
 /// The `overload-policy` file.
-struct OverloadPolicy {
+struct OverloadPolicy
+{
     ServicePolicy defaults;
     std::map<std::string, ServicePolicy, std::less<>> services;
     int rootRetryBudget = 0; ///< retries for one root call, over its whole chain
@@ -41,4 +43,4 @@
 [[nodiscard]] const text::SectionSpec &overloadPolicySection() noexcept;
 [[nodiscard]] const text::SectionSpec &servicePolicySection() noexcept;
 [[nodiscard]] const text::SectionSpec &rootPolicySection() noexcept;
-}
+} // namespace figpulley::config
--- a/src/config/requestpriorities.cpp
+++ b/src/config/requestpriorities.cpp
@@ -32,7 +32,7 @@
 
 const text::SectionSpec fileSection {"request-priorities", "Which calls matter most, and which may be repeated.", fileKeys};
 const text::SectionSpec routeSpecs {"request-priorities route", "One kind of call.", routeKeys};
-}
+} // namespace
 
 const Route *RequestPriorities::match(std::string_view service, std::string_view method, std::string_view path) const noexcept
 {
@@ -55,4 +55,4 @@
 {
     return routeSpecs;
 }
-}
+} // namespace figpulley::config
--- a/src/config/requestpriorities.h
+++ b/src/config/requestpriorities.h
@@ -12,7 +12,8 @@
 namespace figpulley::config
 {
 /// What the entrance decides about calls of one shape.
-struct Route {
+struct Route
+{
     std::string name;
     std::string service;
     std::string method;
@@ -24,7 +25,8 @@
 };
 
 /// The `request-priorities` file.
-struct RequestPriorities {
+struct RequestPriorities
+{
     std::vector<std::string> levels; ///< first to last shed
     std::string userHeader; ///< request header that names the user
     std::vector<Route> routes; ///< the longest matching prefix decides
@@ -40,4 +42,4 @@
 /// Tables of the file's keys.
 [[nodiscard]] const text::SectionSpec &requestPrioritiesSection() noexcept;
 [[nodiscard]] const text::SectionSpec &routeSection() noexcept;
-}
+} // namespace figpulley::config
--- a/src/core/envelope.cpp
+++ b/src/core/envelope.cpp
@@ -34,7 +34,7 @@
     }
     return number;
 }
-}
+} // namespace
 
 std::string encode(const CallEnvelope &envelope)
 {
@@ -52,12 +52,8 @@
 
 std::string encode(const CallOutcome &outcome)
 {
-    return fmt::format(R"({{"kind":"{}","ran":"{}","spent":{},"threshold":{},"retry":{}}})",
-                       answerFor(outcome.kind).name,
-                       name(outcome.ran),
-                       outcome.retriesSpent,
-                       outcome.threshold.value(),
-                       outcome.isRetryWorthwhile);
+    return fmt::format(R"({{"kind":"{}","ran":"{}","spent":{},"threshold":{},"retry":{}}})", answerFor(outcome.kind).name,
+                       name(outcome.ran), outcome.retriesSpent, outcome.threshold.value(), outcome.isRetryWorthwhile);
 }
 
 std::optional<CallEnvelope> decodeEnvelope(std::string_view text)
@@ -100,4 +96,4 @@
         return std::nullopt;
     }
 }
-}
+} // namespace figpulley::core
--- a/src/core/envelope.h
+++ b/src/core/envelope.h
@@ -12,7 +12,8 @@
 namespace figpulley::core
 {
 /// What one node tells another about an attempt, in the `Figpulley-Call` header.
-struct CallEnvelope {
+struct CallEnvelope
+{
     AttemptId attempt {};
     std::uint64_t root = 0; ///< names the root call on every hop
     std::string service; ///< service that the attempt is for
@@ -27,7 +28,8 @@
 };
 
 /// What a node reports back about an attempt, in the `Figpulley-Outcome` header.
-struct CallOutcome {
+struct CallOutcome
+{
     ErrorKind kind = ErrorKind::None;
     Ran ran = Ran::Yes;
     int retriesSpent = 0; ///< of the budget that was lent
@@ -50,4 +52,4 @@
 
 /// Decodes a `Figpulley-Outcome` header.
 [[nodiscard]] std::optional<CallOutcome> decodeOutcome(std::string_view text);
-}
+} // namespace figpulley::core
--- a/src/core/error.h
+++ b/src/core/error.h
@@ -11,7 +11,8 @@
 namespace leaf = boost::leaf;
 
 /// What went wrong, in words for the operator; travels with an ErrorKind through Boost.LEAF.
-struct ErrorDetail {
+struct ErrorDetail
+{
     std::string text;
 };
 
@@ -22,4 +23,4 @@
 {
     return leaf::new_error(kind, ErrorDetail {std::move(text)});
 }
-}
+} // namespace figpulley::core
--- a/src/core/errorkind.cpp
+++ b/src/core/errorkind.cpp
@@ -47,7 +47,7 @@
 }
 static_assert(isInOrder(), "answerFor() indexes the table by kind");
 static_assert(table.size() == static_cast<std::size_t>(ErrorKind::Internal) + 1, "every kind has a row");
-}
+} // namespace
 
 std::string_view name(Ran ran) noexcept
 {
@@ -72,4 +72,4 @@
     }
     return row->kind;
 }
-}
+} // namespace figpulley::core
--- a/src/core/errorkind.h
+++ b/src/core/errorkind.h
@@ -47,7 +47,8 @@
 };
 
 /// What figpulley answers for one error kind.
-struct ErrorAnswer {
+struct ErrorAnswer
+{
     ErrorKind kind;
     std::string_view name; ///< value of the `Figpulley-Kind` header
     int httpStatus;
@@ -68,4 +69,4 @@
 
 /// Finds a kind by the name in the `Figpulley-Kind` header.
 [[nodiscard]] std::optional<ErrorKind> errorKindFromName(std::string_view name) noexcept;
-}
+} // namespace figpulley::core
--- a/src/core/fwd.h
+++ b/src/core/fwd.h
@@ -12,4 +12,4 @@
 struct CallEnvelope;
 struct CallOutcome;
 class Rank;
-}
+} // namespace figpulley::core
--- a/src/core/ids.cpp
+++ b/src/core/ids.cpp
@@ -18,4 +18,4 @@
     const auto [stop, error] = std::from_chars(text.data(), end, number, hexadecimal);
     return error == std::errc {} && stop == end && !text.empty();
 }
-}
+} // namespace figpulley::core
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -7,24 +7,19 @@
 namespace figpulley::core
 {
 /// Names one attempt of one call; random, unique per attempt, checked by the receiving ingress.
-enum class AttemptId : std::uint64_t {
-};
+enum class AttemptId : std::uint64_t {};
 
 /// Names a call in flight inside one node's egress.
-enum class CallId : std::uint64_t {
-};
+enum class CallId : std::uint64_t {};
 
 /// Names a call admitted at one node's ingress; nested calls name it as their parent.
-enum class EntryId : std::uint64_t {
-};
+enum class EntryId : std::uint64_t {};
 
 /// Life of one node process; a replaced VM at the same address has a larger one. Unit: microseconds of wall time at start.
-enum class Incarnation : std::uint64_t {
-};
+enum class Incarnation : std::uint64_t {};
 
 /// Names a node by its control address; survives a restart, unlike its incarnation.
-enum class NodeId : std::uint64_t {
-};
+enum class NodeId : std::uint64_t {};
 
 /// Returns the number behind a strong identifier.
 /// @param id any of the enumerations above
@@ -45,4 +40,4 @@
 /// @param number receives the value
 /// @returns false if the text is not a hexadecimal number
 [[nodiscard]] bool fromHex(std::string_view text, std::uint64_t &number) noexcept;
-}
+} // namespace figpulley::core
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -35,7 +35,7 @@
     }
     line += '"';
 }
-}
+} // namespace
 
 std::optional<LogLevel> logLevelFromName(std::string_view name) noexcept
 {
@@ -75,4 +75,4 @@
     line += '\n';
     fmt::print(stderr, "{}", line);
 }
-}
+} // namespace figpulley::core
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -18,7 +18,8 @@
 };
 
 /// One key and its value in a structured log line.
-struct LogField {
+struct LogField
+{
     std::string_view key;
     std::string value;
 };
@@ -39,4 +40,4 @@
 ///
 /// Example: `log(LogLevel::Info, "node.started", {{"address", address}});`
 void log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
-}
+} // namespace figpulley::core
--- a/src/core/random.h
+++ b/src/core/random.h
@@ -20,4 +20,4 @@
 {
     return std::uniform_int_distribution<std::size_t>(0, size - 1)(random);
 }
-}
+} // namespace figpulley::core
--- a/src/core/rank.cpp
+++ b/src/core/rank.cpp
@@ -12,4 +12,4 @@
     const auto bucket = static_cast<std::uint32_t>(XXH3_64bits(user.data(), user.size()) % usersPerLevel);
     return Rank(bounded * usersPerLevel + bucket);
 }
-}
+} // namespace figpulley::core
--- a/src/core/rank.h
+++ b/src/core/rank.h
@@ -44,4 +44,4 @@
 private:
     std::uint32_t number = 0;
 };
-}
+} // namespace figpulley::core
--- a/src/core/time.h
+++ b/src/core/time.h
@@ -30,4 +30,4 @@
 {
     return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
 }
-}
+} // namespace figpulley::core
--- a/src/decide/admissioncontroller.cpp
+++ b/src/decide/admissioncontroller.cpp
@@ -63,7 +63,7 @@
     ++state.counts.started;
     ++state.totalStarted;
 }
-}
+} // namespace
 
 const config::ServicePolicy &ownPolicy(const board::Blackboard &board) noexcept
 {
@@ -118,9 +118,7 @@
     return result;
 }
 
-void AdmissionController::popRunnable(AdmissionState &state,
-                                      const config::ServicePolicy &policy,
-                                      TimePoint now,
+void AdmissionController::popRunnable(AdmissionState &state, const config::ServicePolicy &policy, TimePoint now,
                                       std::vector<QueueRelease> &released) const
 {
     while (!state.queue.empty() && state.running < limitOf(state)) {
@@ -165,9 +163,7 @@
     return false;
 }
 
-void AdmissionController::dropExpired(AdmissionState &state,
-                                      const config::ServicePolicy &policy,
-                                      TimePoint now,
+void AdmissionController::dropExpired(AdmissionState &state, const config::ServicePolicy &policy, TimePoint now,
                                       std::vector<QueueRelease> &released) const
 {
     for (auto at = state.queue.begin(); at != state.queue.end();) {
@@ -190,7 +186,8 @@
         return;
     }
     const auto meanLatency = window.completed > 0 ? window.latencySum / window.completed : 0.0;
-    const bool isLongEnough = window.completed >= samplesPerLimitWindow && core::toSeconds(elapsed) >= meanLatency * latenciesPerLimitWindow;
+    const bool isLongEnough =
+        window.completed >= samplesPerLimitWindow && core::toSeconds(elapsed) >= meanLatency * latenciesPerLimitWindow;
     if (!isLongEnough && elapsed < longestLimitWindow) {
         return;
     }
@@ -237,4 +234,4 @@
     this->popRunnable(state, policy, now, released);
     return released;
 }
-}
+} // namespace figpulley::decide
--- a/src/decide/admissioncontroller.h
+++ b/src/decide/admissioncontroller.h
@@ -16,19 +16,22 @@
 };
 
 /// A waiting call whose turn has come, or that is refused.
-struct QueueRelease {
+struct QueueRelease
+{
     core::EntryId entry {};
     core::ErrorKind refusal = core::ErrorKind::None; ///< None: run it now
 };
 
 /// The answer to one arrival.
-struct AdmissionResult {
+struct AdmissionResult
+{
     Admission admission = Admission::Refuse;
     std::vector<QueueRelease> released; ///< other calls that lost their place to this one
 };
 
 /// How a call that ran ended, as the limit sees it.
-struct RunResult {
+struct RunResult
+{
     core::Duration latency {}; ///< without nested calls
     bool isSample = true; ///< false if cancelled, so that its latency says nothing
     bool isOverloadAnswer = false; ///< the upstream said that it sheds load
@@ -54,12 +57,14 @@
 
 private:
     void account(board::AdmissionState &state, core::TimePoint now) const;
-    void popRunnable(board::AdmissionState &state, const config::ServicePolicy &policy, core::TimePoint now, std::vector<QueueRelease> &released) const;
-    void dropExpired(board::AdmissionState &state, const config::ServicePolicy &policy, core::TimePoint now, std::vector<QueueRelease> &released) const;
+    void popRunnable(board::AdmissionState &state, const config::ServicePolicy &policy, core::TimePoint now,
+                     std::vector<QueueRelease> &released) const;
+    void dropExpired(board::AdmissionState &state, const config::ServicePolicy &policy, core::TimePoint now,
+                     std::vector<QueueRelease> &released) const;
     void closeLimitWindow(board::AdmissionState &state, const config::ServicePolicy &policy, core::TimePoint now) const;
     void closeThresholdWindow(board::AdmissionState &state, core::TimePoint now) const;
 };
 
 /// Policy of the service that the node stands beside.
 [[nodiscard]] const config::ServicePolicy &ownPolicy(const board::Blackboard &board) noexcept;
-}
+} // namespace figpulley::decide
--- a/src/decide/attempttable.cpp
+++ b/src/decide/attempttable.cpp
@@ -10,7 +10,7 @@
 
 // A copy can arrive as late as the sender's connection lives; senders give up at the deadline.
 constexpr core::Duration keptAfterDeadline = 30s;
-}
+} // namespace
 
 AttemptVerdict AttemptTable::remember(board::Blackboard &board, core::AttemptId id, core::TimePoint deadline, core::TimePoint now) const
 {
@@ -35,4 +35,4 @@
         state.order.pop_front();
     }
 }
-}
+} // namespace figpulley::decide
--- a/src/decide/attempttable.h
+++ b/src/decide/attempttable.h
@@ -23,9 +23,10 @@
     /// Remembers an attempt.
     /// @param id the attempt
     /// @param deadline of the call; the id is kept for a while longer
-    [[nodiscard]] AttemptVerdict remember(board::Blackboard &board, core::AttemptId id, core::TimePoint deadline, core::TimePoint now) const;
+    [[nodiscard]] AttemptVerdict remember(board::Blackboard &board, core::AttemptId id, core::TimePoint deadline,
+                                          core::TimePoint now) const;
 
 private:
     void forgetOld(board::AttemptState &state, core::TimePoint now) const;
 };
-}
+} // namespace figpulley::decide
--- a/src/decide/callcontroller.cpp
+++ b/src/decide/callcontroller.cpp
@@ -56,7 +56,7 @@
         call.deadline = std::min(call.deadline, now + *request.timeout);
     }
 }
-}
+} // namespace
 
 std::optional<core::EntryId> CallController::findParent(const Blackboard &board, const CallRequest &request) const
 {
@@ -70,7 +70,8 @@
 }
 
 // A root call, or a nested one whose parent is not known: the latter gets no retry, since its root's budget is not known either.
-std::optional<CallState> CallController::admitRoot(const Blackboard &board, const CallRequest &request, TimePoint now, core::Random &random) const
+std::optional<CallState> CallController::admitRoot(const Blackboard &board, const CallRequest &request, TimePoint now,
+                                                   core::Random &random) const
 {
     const auto &configuration = *board.config.read().current;
     const auto *route = configuration.priorities.match(request.service, request.method, request.path);
@@ -92,9 +93,7 @@
     return call;
 }
 
-CallState CallController::adoptNested(const Blackboard &board,
-                                      const CallRequest &request,
-                                      const board::LedgerEntry &entry,
+CallState CallController::adoptNested(const Blackboard &board, const CallRequest &request, const board::LedgerEntry &entry,
                                       core::EntryId parent) const
 {
     const auto *route = board.config.read().current->priorities.match(request.service, request.method, request.path);
@@ -250,7 +249,8 @@
     if (outcome.ran != Ran::No) {
         call.earlierAttempts = Ran::Unknown;
     }
-    const bool isRetried = this->mayRetry(board, call, outcome.kind, outcome, now) && this->retries.take(board, call.service, now) && this->drawRetry(board, call);
+    const bool isRetried = this->mayRetry(board, call, outcome.kind, outcome, now) && this->retries.take(board, call.service, now)
+        && this->drawRetry(board, call);
     if (!isRetried) {
         return this->finish(board, id, outcome, now);
     }
@@ -300,4 +300,4 @@
     table.calls.erase(core::value(id));
     return FinishCall {outcome};
 }
-}
+} // namespace figpulley::decide
--- a/src/decide/callcontroller.h
+++ b/src/decide/callcontroller.h
@@ -23,7 +23,8 @@
 {
 public:
     /// A call has arrived.
-    [[nodiscard]] CallStep begin(board::Blackboard &board, core::CallId id, const CallRequest &request, core::TimePoint now, core::Random &random) const;
+    [[nodiscard]] CallStep begin(board::Blackboard &board, core::CallId id, const CallRequest &request, core::TimePoint now,
+                                 core::Random &random) const;
 
     /// The attempt in flight has ended.
     [[nodiscard]] CallStep attemptEnded(board::Blackboard &board, core::CallId id, const AttemptResult &result, core::Random &random) const;
@@ -38,9 +39,12 @@
 private:
     [[nodiscard]] CallStep send(board::Blackboard &board, core::CallId id, core::TimePoint now, core::Random &random) const;
     [[nodiscard]] CallStep finish(board::Blackboard &board, core::CallId id, core::CallOutcome outcome, core::TimePoint now) const;
-    [[nodiscard]] bool mayRetry(board::Blackboard &board, const board::CallState &call, core::ErrorKind kind, const core::CallOutcome &outcome, core::TimePoint now) const;
-    [[nodiscard]] std::optional<board::CallState> admitRoot(const board::Blackboard &board, const CallRequest &request, core::TimePoint now, core::Random &random) const;
-    [[nodiscard]] board::CallState adoptNested(const board::Blackboard &board, const CallRequest &request, const board::LedgerEntry &entry, core::EntryId parent) const;
+    [[nodiscard]] bool mayRetry(board::Blackboard &board, const board::CallState &call, core::ErrorKind kind,
+                                const core::CallOutcome &outcome, core::TimePoint now) const;
+    [[nodiscard]] std::optional<board::CallState> admitRoot(const board::Blackboard &board, const CallRequest &request, core::TimePoint now,
+                                                            core::Random &random) const;
+    [[nodiscard]] board::CallState adoptNested(const board::Blackboard &board, const CallRequest &request, const board::LedgerEntry &entry,
+                                               core::EntryId parent) const;
     [[nodiscard]] std::optional<core::EntryId> findParent(const board::Blackboard &board, const CallRequest &request) const;
     void settle(board::Blackboard &board, board::CallState &call, const std::optional<core::CallOutcome> &outcome) const;
     [[nodiscard]] bool drawRetry(board::Blackboard &board, board::CallState &call) const;
@@ -51,4 +55,4 @@
     Ledger ledger;
     RetryController retries;
 };
-}
+} // namespace figpulley::decide
--- a/src/decide/callstep.h
+++ b/src/decide/callstep.h
@@ -12,7 +12,8 @@
 namespace figpulley::decide
 {
 /// A call as it reaches the egress.
-struct CallRequest {
+struct CallRequest
+{
     std::string service;
     std::string method; ///< in capitals
     std::string path; ///< without query
@@ -24,7 +25,8 @@
 };
 
 /// Send an attempt to an endpoint's node.
-struct SendAttempt {
+struct SendAttempt
+{
     core::CallEnvelope envelope;
     core::NodeId node {};
     std::string address;
@@ -32,21 +34,24 @@
 };
 
 /// Ask again after a wait.
-struct WaitBeforeRetry {
+struct WaitBeforeRetry
+{
     core::Duration delay {};
 };
 
 /// Answer the caller: with the upstream's answer if `kind` is None, else with figpulley's own.
-struct FinishCall {
+struct FinishCall
+{
     core::CallOutcome outcome;
 };
 
 using CallStep = std::variant<SendAttempt, WaitBeforeRetry, FinishCall>;
 
 /// How an attempt ended, as the transport saw it.
-struct AttemptResult {
+struct AttemptResult
+{
     core::ErrorKind kind = core::ErrorKind::None; ///< a fault of the transport, or None if the node answered
     std::optional<core::CallOutcome> outcome; ///< what the node reported
     core::TimePoint now {};
 };
-}
+} // namespace figpulley::decide
--- a/src/decide/configcontroller.cpp
+++ b/src/decide/configcontroller.cpp
@@ -11,4 +11,4 @@
     state.current = std::move(configuration);
     return true;
 }
-}
+} // namespace figpulley::decide
--- a/src/decide/configcontroller.h
+++ b/src/decide/configcontroller.h
@@ -13,4 +13,4 @@
     /// @returns whether it is in force now because of this call
     bool offer(board::Blackboard &board, config::ConfigurationPtr configuration) const;
 };
-}
+} // namespace figpulley::decide
--- a/src/decide/draincontroller.cpp
+++ b/src/decide/draincontroller.cpp
@@ -12,7 +12,7 @@
 
 // Callers that have not yet heard of the stop get their refusals answered in this time instead of a closed port.
 constexpr core::Duration announcementTime = 1s;
-}
+} // namespace
 
 bool DrainController::upstreamReported(board::Blackboard &board, bool isDraining) const
 {
@@ -42,4 +42,4 @@
     const auto &requested = board.drain.read().stopRequested;
     return requested && now - *requested >= ownPolicy(board).drain;
 }
-}
+} // namespace figpulley::decide
--- a/src/decide/draincontroller.h
+++ b/src/decide/draincontroller.h
@@ -22,4 +22,4 @@
     /// Whether a planned stop has used up the operator's limit.
     [[nodiscard]] bool isStopOverdue(const board::Blackboard &board, core::TimePoint now) const noexcept;
 };
-}
+} // namespace figpulley::decide
--- a/src/decide/earlyshedder.cpp
+++ b/src/decide/earlyshedder.cpp
@@ -20,9 +20,10 @@
 {
     return XXH3_64bits_withSeed(service.data(), service.size(), XXH3_64bits(route.data(), route.size()));
 }
-}
+} // namespace
 
-core::Rank EarlyShedder::threshold(const board::Blackboard &board, std::string_view route, std::string_view service, core::TimePoint now) const
+core::Rank EarlyShedder::threshold(const board::Blackboard &board, std::string_view route, std::string_view service,
+                                   core::TimePoint now) const
 {
     const auto &paths = board.shed.read().paths;
     const auto found = paths.find(pathKey(route, service));
@@ -37,19 +38,13 @@
     return core::Rank(threshold < negligible ? 0 : static_cast<std::uint32_t>(threshold));
 }
 
-bool EarlyShedder::isShed(const board::Blackboard &board,
-                          std::string_view route,
-                          std::string_view service,
-                          core::Rank rank,
+bool EarlyShedder::isShed(const board::Blackboard &board, std::string_view route, std::string_view service, core::Rank rank,
                           core::TimePoint now) const
 {
     return rank < this->threshold(board, route, service, now);
 }
 
-void EarlyShedder::learn(board::Blackboard &board,
-                         std::string_view route,
-                         std::string_view service,
-                         core::Rank threshold,
+void EarlyShedder::learn(board::Blackboard &board, std::string_view route, std::string_view service, core::Rank threshold,
                          core::TimePoint now) const
 {
     const auto before = this->threshold(board, route, service, now);
@@ -57,4 +52,4 @@
     path.threshold = before.value() + answerWeight * (static_cast<double>(threshold.value()) - before.value());
     path.updated = now;
 }
-}
+} // namespace figpulley::decide
--- a/src/decide/endpointchooser.cpp
+++ b/src/decide/endpointchooser.cpp
@@ -74,12 +74,10 @@
 {
     return kind == core::ErrorKind::ConnectFailed || kind == core::ErrorKind::AnswerLost || kind == core::ErrorKind::AnswerShort;
 }
-}
+} // namespace
 
-std::vector<const Endpoint *> EndpointChooser::candidates(const board::Blackboard &board,
-                                                          std::string_view service,
-                                                          std::span<const core::NodeId> tried,
-                                                          core::TimePoint now) const
+std::vector<const Endpoint *> EndpointChooser::candidates(const board::Blackboard &board, std::string_view service,
+                                                          std::span<const core::NodeId> tried, core::TimePoint now) const
 {
     std::vector<const Endpoint *> present;
     for (const auto &endpoint : board.endpoints.read().forService(service)) {
@@ -88,26 +86,25 @@
         }
     }
     // At most half of the endpoints are passed over: when more seem to fail, the cause is likelier here or behind them.
-    const auto paused = std::count_if(present.begin(), present.end(), [&](const Endpoint *endpoint) { return isPaused(board, *endpoint, now); });
+    const auto paused =
+        std::count_if(present.begin(), present.end(), [&](const Endpoint *endpoint) { return isPaused(board, *endpoint, now); });
     if (static_cast<std::size_t>(paused) * 2 <= present.size()) {
         std::erase_if(present, [&](const Endpoint *endpoint) { return isPaused(board, *endpoint, now); });
     }
-    std::erase_if(present, [tried](const Endpoint *endpoint) { return std::find(tried.begin(), tried.end(), endpoint->node) != tried.end(); });
+    std::erase_if(present,
+                  [tried](const Endpoint *endpoint) { return std::find(tried.begin(), tried.end(), endpoint->node) != tried.end(); });
     return present;
 }
 
-const Endpoint *EndpointChooser::choose(board::Blackboard &board,
-                                        std::string_view service,
-                                        core::Rank rank,
-                                        std::span<const core::NodeId> tried,
-                                        core::TimePoint now,
-                                        core::Random &random) const
+const Endpoint *EndpointChooser::choose(board::Blackboard &board, std::string_view service, core::Rank rank,
+                                        std::span<const core::NodeId> tried, core::TimePoint now, core::Random &random) const
 {
     auto usable = this->candidates(board, service, tried, now);
     if (usable.empty()) {
         return nullptr;
     }
-    const auto firstRefusing = std::partition(usable.begin(), usable.end(), [&](const Endpoint *endpoint) { return wouldTake(board, *endpoint, rank, now); });
+    const auto firstRefusing =
+        std::partition(usable.begin(), usable.end(), [&](const Endpoint *endpoint) { return wouldTake(board, *endpoint, rank, now); });
     if (firstRefusing != usable.begin()) {
         usable.erase(firstRefusing, usable.end());
     }
@@ -137,10 +134,7 @@
     ++view.outstanding;
 }
 
-void EndpointChooser::ended(board::Blackboard &board,
-                            std::string_view service,
-                            core::NodeId node,
-                            const EndpointReport &report,
+void EndpointChooser::ended(board::Blackboard &board, std::string_view service, core::NodeId node, const EndpointReport &report,
                             core::TimePoint now) const
 {
     auto &view = board.routing.write().views[core::value(node)];
@@ -171,13 +165,10 @@
     }
 }
 
-bool EndpointChooser::hasOther(const board::Blackboard &board,
-                               std::string_view service,
-                               core::Rank rank,
-                               std::span<const core::NodeId> tried,
-                               core::TimePoint now) const
+bool EndpointChooser::hasOther(const board::Blackboard &board, std::string_view service, core::Rank rank,
+                               std::span<const core::NodeId> tried, core::TimePoint now) const
 {
     const auto others = this->candidates(board, service, tried, now);
     return std::any_of(others.begin(), others.end(), [&](const Endpoint *endpoint) { return wouldTake(board, *endpoint, rank, now); });
 }
-}
+} // namespace figpulley::decide
--- a/src/decide/fwd.h
+++ b/src/decide/fwd.h
@@ -14,4 +14,4 @@
 class Ledger;
 class LimitAlgorithm;
 class RetryController;
-}
+} // namespace figpulley::decide
--- a/src/decide/ingresscontroller.cpp
+++ b/src/decide/ingresscontroller.cpp
@@ -14,7 +14,7 @@
 using core::TimePoint;
 
 constexpr int httpServiceUnavailable = 503;
-}
+} // namespace
 
 // Nothing has been handed to the upstream when these refuse, but a copy of the attempt may have run before.
 ErrorKind IngressController::checkAttempt(Blackboard &board, const core::CallEnvelope &envelope, TimePoint now) const
@@ -80,10 +80,7 @@
     return actions;
 }
 
-std::vector<IngressAction> IngressController::finish(Blackboard &board,
-                                                     EntryId entry,
-                                                     const UpstreamResult &result,
-                                                     TimePoint now,
+std::vector<IngressAction> IngressController::finish(Blackboard &board, EntryId entry, const UpstreamResult &result, TimePoint now,
                                                      CallOutcome &outcome) const
 {
     const auto *found = this->ledger.find(board, entry);
@@ -130,4 +127,4 @@
 {
     return this->toActions(board, this->admission.tick(board, now));
 }
-}
+} // namespace figpulley::decide
--- a/src/decide/ingresscontroller.h
+++ b/src/decide/ingresscontroller.h
@@ -10,21 +10,24 @@
 namespace figpulley::decide
 {
 /// A call as it reaches the ingress from another node.
-struct IngressArrival {
+struct IngressArrival
+{
     core::EntryId entry {};
     core::CallEnvelope envelope;
     std::uint64_t traceLow = 0;
 };
 
 /// What to do with a call at the ingress.
-struct IngressAction {
+struct IngressAction
+{
     core::EntryId entry {};
     Admission admission = Admission::Refuse;
     core::ErrorKind refusal = core::ErrorKind::None;
 };
 
 /// How a call that was handed to the upstream ended.
-struct UpstreamResult {
+struct UpstreamResult
+{
     core::ErrorKind kind = core::ErrorKind::None; ///< None if the upstream answered in whole
     int httpStatus = 0;
     core::TimePoint started {};
@@ -41,7 +44,8 @@
     /// A call that ran has ended.
     /// @param outcome receives the report for the caller
     /// @returns waiting calls whose turn has come
-    [[nodiscard]] std::vector<IngressAction> finish(board::Blackboard &board, core::EntryId entry, const UpstreamResult &result, core::TimePoint now, core::CallOutcome &outcome) const;
+    [[nodiscard]] std::vector<IngressAction> finish(board::Blackboard &board, core::EntryId entry, const UpstreamResult &result,
+                                                    core::TimePoint now, core::CallOutcome &outcome) const;
 
     /// A call ended without having run; builds the report for the caller.
     [[nodiscard]] core::CallOutcome refuse(board::Blackboard &board, core::EntryId entry, core::ErrorKind kind) const;
@@ -60,4 +64,4 @@
     AttemptTable attempts;
     Ledger ledger;
 };
-}
+} // namespace figpulley::decide
--- a/src/decide/ledger.cpp
+++ b/src/decide/ledger.cpp
@@ -7,7 +7,8 @@
 using core::EntryId;
 using core::value;
 
-void Ledger::open(board::Blackboard &board, EntryId id, const core::CallEnvelope &envelope, std::uint64_t traceLow, core::TimePoint now) const
+void Ledger::open(board::Blackboard &board, EntryId id, const core::CallEnvelope &envelope, std::uint64_t traceLow,
+                  core::TimePoint now) const
 {
     auto &state = board.ledger.write();
     board::LedgerEntry entry;
@@ -132,4 +133,4 @@
     }
     return std::max(core::Duration {1}, now - started - nested);
 }
-}
+} // namespace figpulley::decide
--- a/src/decide/ledger.h
+++ b/src/decide/ledger.h
@@ -16,7 +16,8 @@
 {
 public:
     /// Opens an entry for an arriving call, with the budget that its caller lent.
-    void open(board::Blackboard &board, core::EntryId id, const core::CallEnvelope &envelope, std::uint64_t traceLow, core::TimePoint now) const;
+    void open(board::Blackboard &board, core::EntryId id, const core::CallEnvelope &envelope, std::uint64_t traceLow,
+              core::TimePoint now) const;
 
     /// Closes an entry.
     /// @returns the retries spent below it; loans that never came back count as spent
@@ -55,4 +56,4 @@
 private:
     [[nodiscard]] board::LedgerEntry *findMutable(board::Blackboard &board, core::EntryId id) const noexcept;
 };
-}
+} // namespace figpulley::decide
--- a/src/decide/limit/aimdlimit.cpp
+++ b/src/decide/limit/aimdlimit.cpp
@@ -9,7 +9,7 @@
 constexpr double latencyTolerance = 1.5; // ratio to the baseline that counts as congestion
 constexpr double decrease = 0.9;
 constexpr double saturationToGrow = 0.2;
-}
+} // namespace
 
 double AimdLimit::next(board::LimitState &state, const LimitWindow &window, const config::ServicePolicy & /*policy*/) const
 {
@@ -23,4 +23,4 @@
     }
     return state.limit;
 }
-}
+} // namespace figpulley::decide
--- a/src/decide/limit/fixedlimit.cpp
+++ b/src/decide/limit/fixedlimit.cpp
@@ -6,4 +6,4 @@
 {
     return policy.limitInitial;
 }
-}
+} // namespace figpulley::decide
--- a/src/decide/limit/gradientlimit.cpp
+++ b/src/decide/limit/gradientlimit.cpp
@@ -9,7 +9,7 @@
 {
 constexpr double smallestGradient = 0.5;
 constexpr double smoothing = 0.3;
-}
+} // namespace
 
 double GradientLimit::next(board::LimitState &state, const LimitWindow &window, const config::ServicePolicy & /*policy*/) const
 {
@@ -23,4 +23,4 @@
     }
     return state.limit * (1 - smoothing) + target * smoothing;
 }
-}
+} // namespace figpulley::decide
--- a/src/decide/limit/gradientlimit.h
+++ b/src/decide/limit/gradientlimit.h
@@ -10,4 +10,4 @@
 public:
     [[nodiscard]] double next(board::LimitState &state, const LimitWindow &window, const config::ServicePolicy &policy) const override;
 };
-}
+} // namespace figpulley::decide
--- a/src/decide/limit/limitalgorithm.cpp
+++ b/src/decide/limit/limitalgorithm.cpp
@@ -29,4 +29,4 @@
     }
     return probing;
 }
-}
+} // namespace figpulley::decide
--- a/src/decide/limit/limitalgorithm.h
+++ b/src/decide/limit/limitalgorithm.h
@@ -6,7 +6,8 @@
 namespace figpulley::decide
 {
 /// One control window of an ingress, summed up.
-struct LimitWindow {
+struct LimitWindow
+{
     double latency = 0; ///< mean time of a completed call without its nested calls, in seconds
     double concurrency = 0; ///< mean number of calls running
     double throughput = 0; ///< completed calls per second
@@ -35,4 +36,4 @@
 
 /// The implementation of an algorithm.
 [[nodiscard]] const LimitAlgorithm &limitAlgorithm(config::LimitAlgorithm algorithm) noexcept;
-}
+} // namespace figpulley::decide
--- a/src/decide/limit/pidlimit.cpp
+++ b/src/decide/limit/pidlimit.cpp
@@ -12,7 +12,7 @@
 constexpr double derivativeGain = 0.05;
 constexpr double integralBound = 2.0;
 constexpr double largestStep = 0.3; // share of the limit
-}
+} // namespace
 
 double PidLimit::next(board::LimitState &state, const LimitWindow &window, const config::ServicePolicy & /*policy*/) const
 {
@@ -28,4 +28,4 @@
     const auto step = proportionalGain * error + integralGain * state.integral + derivativeGain * derivative;
     return state.limit * (1 + std::clamp(step, -largestStep, largestStep));
 }
-}
+} // namespace figpulley::decide
--- a/src/decide/limit/probinglimit.cpp
+++ b/src/decide/limit/probinglimit.cpp
@@ -12,6 +12,8 @@
 constexpr double largestGradient = 1.25;
 constexpr double overloadDecrease = 0.85; // when the upstream itself says that it sheds
 constexpr double probeReduction = 0.6; // share of the limit during a probe
+constexpr double roomAboveProbe = 1.1; // over the limit of a probe that lost no throughput
+constexpr double reductionToJudge = 0.9; // share of concurrency below which a probe tells something
 constexpr double saturationToProbe = 0.5; // below it the limit does not bind, and latency is the baseline
 constexpr int windowsBetweenProbes = 40;
 constexpr int windowsBelievedAfterProbe = 4; // before a large drop is tested again
@@ -23,13 +25,10 @@
 }
 
 // With a queue at the upstream, latency falls in proportion to concurrency; without one it does not change.
-// The baseline lies between both: it is the latency that would remain at small concurrency.
-double baselineFromReduction(const board::LimitState &state, const LimitWindow &window)
+bool showsQueue(const board::LimitState &state, const LimitWindow &window)
 {
-    const auto concurrencyRatio = window.concurrency / state.lastConcurrency;
-    const auto latencyIfQueued = state.lastLatency * concurrencyRatio;
-    const auto midpoint = (latencyIfQueued + state.lastLatency) / 2;
-    return window.latency > midpoint ? window.latency : std::min(window.latency, std::max(state.baseline, latencyIfQueued));
+    const auto latencyIfQueued = state.lastLatency * window.concurrency / state.lastConcurrency;
+    return window.latency < (latencyIfQueued + state.lastLatency) / 2;
 }
 
 double startProbe(board::LimitState &state, const LimitWindow &window)
@@ -44,16 +43,23 @@
 
 double endProbe(board::LimitState &state, const LimitWindow &window)
 {
-    const bool didReduce = window.concurrency < state.lastConcurrency * 0.9;
-    if (didReduce) {
-        state.baseline = baselineFromReduction(state, window);
-    }
-    const auto resumed = state.limitBeforeProbe;
+    const auto before = state.limitBeforeProbe;
+    const bool didReduce = window.concurrency < state.lastConcurrency * reductionToJudge;
     state.limitBeforeProbe = 0;
     state.settleWindows = 1;
-    return resumed;
-}
+    if (!didReduce) {
+        return before;
+    }
+    if (!showsQueue(state, window)) {
+        state.baseline = window.latency;
+        return before;
+    }
+    // The smaller concurrency carried the same throughput, so it is kept, and a still smaller one is tried soon.
+    state.baseline = std::min(state.baseline, window.latency);
+    state.windowsSinceProbe = windowsBetweenProbes - windowsBelievedAfterProbe;
+    return state.limit * roomAboveProbe;
 }
+} // namespace
 
 double ProbingLimit::next(board::LimitState &state, const LimitWindow &window, const config::ServicePolicy & /*policy*/) const
 {
@@ -91,4 +97,4 @@
     const bool wouldGrowUnused = gradient > 1 && window.concurrency < state.limit * 0.8;
     return wouldGrowUnused ? state.limit : state.limit * gradient;
 }
-}
+} // namespace figpulley::decide
--- a/src/decide/limit/probinglimit.h
+++ b/src/decide/limit/probinglimit.h
@@ -4,10 +4,11 @@
 
 namespace figpulley::decide
 {
-/// Gradient whose baseline is measured anew by short reductions of the limit, so that a constant overload or a slower upstream cannot hide it.
+/// Gradient whose baseline is measured anew by short reductions of the limit, so that a constant overload or a slower upstream cannot hide
+/// it.
 class ProbingLimit : public LimitAlgorithm
 {
 public:
     [[nodiscard]] double next(board::LimitState &state, const LimitWindow &window, const config::ServicePolicy &policy) const override;
 };
-}
+} // namespace figpulley::decide
--- a/src/decide/retrycontroller.cpp
+++ b/src/decide/retrycontroller.cpp
@@ -11,7 +11,7 @@
 
 constexpr core::Duration firstBackoff = 4ms;
 constexpr int largestDoubling = 6;
-}
+} // namespace
 
 bool RetryController::take(board::Blackboard &board, std::string_view service, core::TimePoint now) const
 {
@@ -43,4 +43,4 @@
     const auto bound = firstBackoff * (1 << doublings);
     return core::Duration(static_cast<std::int64_t>(core::uniform(random) * static_cast<double>(bound.count())));
 }
-}
+} // namespace figpulley::decide
--- a/src/decide/retrycontroller.h
+++ b/src/decide/retrycontroller.h
@@ -20,4 +20,4 @@
     /// @param attempts attempts made so far, at least 1
     [[nodiscard]] static core::Duration backoff(int attempts, core::Random &random);
 };
-}
+} // namespace figpulley::decide
--- a/src/decide/thresholdsearch.cpp
+++ b/src/decide/thresholdsearch.cpp
@@ -24,7 +24,7 @@
     }
     return {};
 }
-}
+} // namespace
 
 core::Rank nextThreshold(core::Rank threshold, std::uint32_t &descent, const board::ThresholdCounts &counts, double seconds) noexcept
 {
@@ -52,4 +52,4 @@
     counts.refused = 0;
     counts.saturatedTime = 0;
 }
-}
+} // namespace figpulley::decide
--- a/src/decide/thresholdsearch.h
+++ b/src/decide/thresholdsearch.h
@@ -16,8 +16,9 @@
 /// @param counts the window that has ended
 /// @param seconds length of the window
 /// @returns the new threshold
-[[nodiscard]] core::Rank nextThreshold(core::Rank threshold, std::uint32_t &descent, const board::ThresholdCounts &counts, double seconds) noexcept;
+[[nodiscard]] core::Rank nextThreshold(core::Rank threshold, std::uint32_t &descent, const board::ThresholdCounts &counts,
+                                       double seconds) noexcept;
 
 /// Ages the moving sums and clears the counts of the window.
 void decay(board::ThresholdCounts &counts) noexcept;
-}
+} // namespace figpulley::decide
--- a/src/members/endpointdirectory.cpp
+++ b/src/members/endpointdirectory.cpp
@@ -18,7 +18,7 @@
     endpoint.isSuspect = announcement.claim == Claim::Suspect;
     return endpoint;
 }
-}
+} // namespace
 
 void EndpointDirectory::rebuild(board::Blackboard &board) const
 {
@@ -34,7 +34,8 @@
         state.byService[membership.self.service].push_back(toEndpoint(membership.self, {}));
     }
     for (auto &[service, endpoints] : state.byService) {
-        std::sort(endpoints.begin(), endpoints.end(), [](const board::Endpoint &left, const board::Endpoint &right) { return left.node < right.node; });
+        std::sort(endpoints.begin(), endpoints.end(),
+                  [](const board::Endpoint &left, const board::Endpoint &right) { return left.node < right.node; });
     }
 }
-}
+} // namespace figpulley::members
--- a/src/members/endpointdirectory.h
+++ b/src/members/endpointdirectory.h
@@ -11,4 +11,4 @@
     /// Rebuilds the endpoints; cheap enough for every change of the membership.
     void rebuild(board::Blackboard &board) const;
 };
-}
+} // namespace figpulley::members
--- a/src/members/fwd.h
+++ b/src/members/fwd.h
@@ -7,4 +7,4 @@
 class Swim;
 struct Member;
 struct SwimMessage;
-}
+} // namespace figpulley::members
--- a/src/members/member.cpp
+++ b/src/members/member.cpp
@@ -11,7 +11,7 @@
 {
 constexpr std::array<std::string_view, 3> claimNames {"alive", "suspect", "dead"};
 static_assert(claimNames.size() == static_cast<std::size_t>(Claim::Dead) + 1);
-}
+} // namespace
 
 std::string_view name(Claim claim) noexcept
 {
@@ -27,4 +27,4 @@
 {
     return core::NodeId {XXH3_64bits(controlAddress.data(), controlAddress.size())};
 }
-}
+} // namespace figpulley::members
--- a/src/members/member.h
+++ b/src/members/member.h
@@ -21,7 +21,8 @@
 [[nodiscard]] std::string_view name(Claim claim) noexcept;
 
 /// What a node announces of itself, and what the others claim about it.
-struct Announcement {
+struct Announcement
+{
     core::NodeId node {};
     std::string controlAddress; ///< ip:port for datagrams
     std::string ingressAddress; ///< ip:port for calls
@@ -39,7 +40,8 @@
 [[nodiscard]] bool isNewer(const Announcement &left, const Announcement &right) noexcept;
 
 /// One member as a node remembers it.
-struct Member {
+struct Member
+{
     Announcement announcement;
     core::TimePoint firstAlive {}; ///< when this incarnation was first seen alive
     core::TimePoint claimSince {}; ///< when the present claim began here
@@ -47,4 +49,4 @@
 
 /// The id of a node: a hash of its control address, so that a replaced VM at the same address keeps it.
 [[nodiscard]] core::NodeId nodeIdOf(std::string_view controlAddress) noexcept;
-}
+} // namespace figpulley::members
--- a/src/members/rendezvous.cpp
+++ b/src/members/rendezvous.cpp
@@ -8,11 +8,12 @@
 {
 namespace
 {
-struct Scored {
+struct Scored
+{
     std::uint64_t score = 0;
     core::NodeId node {};
 };
-}
+} // namespace
 
 std::vector<core::NodeId> rendezvousOrder(std::string_view role, const std::vector<core::NodeId> &nodes, std::size_t count)
 {
@@ -24,9 +25,10 @@
         scored.push_back({XXH3_64bits_withSeed(&number, sizeof number, seed), node});
     }
     const auto wanted = std::min(count, scored.size());
-    std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(wanted), scored.end(), [](const Scored &left, const Scored &right) {
-        return left.score != right.score ? left.score > right.score : left.node > right.node;
-    });
+    std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(wanted), scored.end(),
+                      [](const Scored &left, const Scored &right) {
+                          return left.score != right.score ? left.score > right.score : left.node > right.node;
+                      });
     std::vector<core::NodeId> order;
     order.reserve(wanted);
     for (std::size_t at = 0; at < wanted; ++at) {
@@ -34,4 +36,4 @@
     }
     return order;
 }
-}
+} // namespace figpulley::members
--- a/src/members/rendezvous.h
+++ b/src/members/rendezvous.h
@@ -14,4 +14,4 @@
 /// @param count how many are wanted
 /// @returns up to `count` nodes, the first holder at the front
 [[nodiscard]] std::vector<core::NodeId> rendezvousOrder(std::string_view role, const std::vector<core::NodeId> &nodes, std::size_t count);
-}
+} // namespace figpulley::members
--- a/src/members/swim.cpp
+++ b/src/members/swim.cpp
@@ -28,7 +28,7 @@
 {
     return member.announcement.claim != Claim::Dead;
 }
-}
+} // namespace
 
 Swim::Swim(SwimOptions options)
     : options(std::move(options))
@@ -190,7 +190,8 @@
     }
     std::erase_if(state.gossip, [](const board::PendingGossip &pending) { return pending.sendsLeft <= 0; });
     // The least sent go first next time.
-    std::stable_sort(state.gossip.begin(), state.gossip.end(), [](const auto &left, const auto &right) { return left.sendsLeft > right.sendsLeft; });
+    std::stable_sort(state.gossip.begin(), state.gossip.end(),
+                     [](const auto &left, const auto &right) { return left.sendsLeft > right.sendsLeft; });
 }
 
 void Swim::answerPing(Blackboard &board, const SwimMessage &message, OutgoingList &out) const
@@ -225,14 +226,15 @@
 void Swim::takeAck(Blackboard &board, const SwimMessage &message, TimePoint now, OutgoingList &out) const
 {
     auto &state = board.membership.write();
-    const auto probe = std::find_if(state.probes.begin(), state.probes.end(), [&](const board::Probe &candidate) { return candidate.sequence == message.sequence; });
+    const auto probe = std::find_if(state.probes.begin(), state.probes.end(),
+                                    [&](const board::Probe &candidate) { return candidate.sequence == message.sequence; });
     if (probe != state.probes.end()) {
         this->noteProbeResult(state, true, now);
         state.probes.erase(probe);
         return;
     }
-    const auto relayed =
-        std::find_if(state.relayed.begin(), state.relayed.end(), [&](const board::RelayedPing &candidate) { return candidate.ownSequence == message.sequence; });
+    const auto relayed = std::find_if(state.relayed.begin(), state.relayed.end(),
+                                      [&](const board::RelayedPing &candidate) { return candidate.ownSequence == message.sequence; });
     if (relayed == state.relayed.end()) {
         return;
     }
@@ -585,7 +587,8 @@
 {
     auto &state = board.membership.write();
     // Spread over the interval, so that a zone that starts at once does not ask its seeds all together.
-    const auto jitter = core::Duration(static_cast<std::int64_t>(core::uniform(random) * static_cast<double>(this->options.joinInterval.count())));
+    const auto jitter =
+        core::Duration(static_cast<std::int64_t>(core::uniform(random) * static_cast<double>(this->options.joinInterval.count())));
     state.nextJoin = now + this->options.joinInterval + jitter;
     std::vector<std::string> seeds;
     for (const auto &seed : this->options.seeds) {
@@ -638,4 +641,4 @@
     this->sendGossip(board, now, random, out);
     return out;
 }
-}
+} // namespace figpulley::members
--- a/src/members/swim.h
+++ b/src/members/swim.h
@@ -11,7 +11,8 @@
 namespace figpulley::members
 {
 /// A datagram to be sent.
-struct Outgoing {
+struct Outgoing
+{
     std::string to; ///< control address
     SwimMessage message;
 };
@@ -30,7 +31,8 @@
 
     /// Takes a datagram.
     /// @returns datagrams to be sent
-    [[nodiscard]] OutgoingList receive(board::Blackboard &board, const SwimMessage &message, core::TimePoint now, core::Random &random) const;
+    [[nodiscard]] OutgoingList receive(board::Blackboard &board, const SwimMessage &message, core::TimePoint now,
+                                       core::Random &random) const;
 
     /// Periodic work; call it every 50 ms or so.
     [[nodiscard]] OutgoingList tick(board::Blackboard &board, core::TimePoint now, core::Random &random) const;
@@ -71,4 +73,4 @@
 
     SwimOptions options;
 };
-}
+} // namespace figpulley::members
--- a/src/members/swimmessage.cpp
+++ b/src/members/swimmessage.cpp
@@ -14,14 +14,8 @@
 // Arrays instead of objects: the names would be two thirds of the bytes.
 json toJson(const Announcement &item)
 {
-    return json::array({item.controlAddress,
-                        item.ingressAddress,
-                        item.service,
-                        item.availabilityZone,
-                        core::value(item.incarnation),
-                        item.version,
-                        item.isLeaving,
-                        static_cast<int>(item.claim)});
+    return json::array({item.controlAddress, item.ingressAddress, item.service, item.availabilityZone, core::value(item.incarnation),
+                        item.version, item.isLeaving, static_cast<int>(item.claim)});
 }
 
 Announcement announcementFromJson(const json &item)
@@ -49,7 +43,7 @@
         throw json::other_error::create(0, "not a bounded array", nullptr);
     }
 }
-}
+} // namespace
 
 std::string encode(const SwimMessage &message)
 {
@@ -61,17 +55,9 @@
     for (const auto &digest : message.digests) {
         digests.push_back(json::array({digest.zone, digest.hash, digest.count}));
     }
-    const auto document = json::array({static_cast<int>(message.kind),
-                                       message.sequence,
-                                       message.subject,
-                                       message.configRevision,
-                                       message.sender,
-                                       message.senderZone,
-                                       message.zone,
-                                       message.cursor,
-                                       message.isLastPage,
-                                       std::move(announcements),
-                                       std::move(digests)});
+    const auto document =
+        json::array({static_cast<int>(message.kind), message.sequence, message.subject, message.configRevision, message.sender,
+                     message.senderZone, message.zone, message.cursor, message.isLastPage, std::move(announcements), std::move(digests)});
     std::string bytes;
     json::to_msgpack(document, bytes);
     return bytes;
@@ -114,4 +100,4 @@
         return std::nullopt;
     }
 }
-}
+} // namespace figpulley::members
--- a/src/members/swimmessage.h
+++ b/src/members/swimmessage.h
@@ -21,14 +21,16 @@
 };
 
 /// Fingerprint of one zone's members, to find differences without sending them.
-struct ZoneDigest {
+struct ZoneDigest
+{
     std::string zone;
     std::uint64_t hash = 0; ///< of all live announcements of the zone
     std::uint32_t count = 0;
 };
 
 /// One datagram between nodes.
-struct SwimMessage {
+struct SwimMessage
+{
     SwimKind kind = SwimKind::Gossip;
     std::uint32_t sequence = 0; ///< of the ping that is asked or answered
     std::string subject; ///< control address that a PingRequest is about, or that the relayed Ack goes back to
@@ -54,4 +56,4 @@
 /// Decodes a message from an untrusted peer.
 /// @returns nothing if it is malformed
 [[nodiscard]] std::optional<SwimMessage> decodeSwimMessage(std::string_view bytes);
-}
+} // namespace figpulley::members
--- a/src/members/swimoptions.h
+++ b/src/members/swimoptions.h
@@ -10,7 +10,8 @@
 namespace figpulley::members
 {
 /// Timing and bounds of the membership protocol.
-struct SwimOptions {
+struct SwimOptions
+{
     core::Duration probeInterval = std::chrono::seconds(1);
     core::Duration probeTimeout = std::chrono::milliseconds(300); ///< until third nodes are asked
     core::Duration probeDeadline = std::chrono::milliseconds(900); ///< until the member is suspect
@@ -25,4 +26,4 @@
     int pullPagesPerRequest = 4;
     std::vector<std::string> seeds; ///< control addresses to join by
 };
-}
+} // namespace figpulley::members
--- a/src/members/zonedigest.cpp
+++ b/src/members/zonedigest.cpp
@@ -19,7 +19,7 @@
     };
     return XXH3_64bits(words.data(), sizeof words);
 }
-}
+} // namespace
 
 void addToDigest(board::MembershipState &state, const Announcement &announcement)
 {
@@ -48,4 +48,4 @@
     }
     return digests;
 }
-}
+} // namespace figpulley::members
--- a/src/members/zonedigest.h
+++ b/src/members/zonedigest.h
@@ -15,4 +15,4 @@
 
 /// Fingerprints of all zones, this node included.
 [[nodiscard]] std::vector<ZoneDigest> allDigests(const board::MembershipState &state);
-}
+} // namespace figpulley::members
--- a/src/net/address.cpp
+++ b/src/net/address.cpp
@@ -29,4 +29,4 @@
     }
     return address;
 }
-}
+} // namespace figpulley::net
--- a/src/net/address.h
+++ b/src/net/address.h
@@ -8,7 +8,8 @@
 namespace figpulley::net
 {
 /// An IP address and a port.
-struct Address {
+struct Address
+{
     std::string ip;
     std::uint16_t port = 0;
 
@@ -21,4 +22,4 @@
 ///
 /// Example: `parseAddress("127.0.0.1:8080")->port == 8080`
 [[nodiscard]] std::optional<Address> parseAddress(std::string_view text);
-}
+} // namespace figpulley::net
--- a/src/net/bodypipe.cpp
+++ b/src/net/bodypipe.cpp
@@ -67,4 +67,4 @@
 {
     return this->whole;
 }
-}
+} // namespace figpulley::net
--- a/src/net/bodypipe.h
+++ b/src/net/bodypipe.h
@@ -43,4 +43,4 @@
     bool finished = false;
     bool whole = false;
 };
-}
+} // namespace figpulley::net
--- a/src/net/datagramsocket.cpp
+++ b/src/net/datagramsocket.cpp
@@ -19,7 +19,7 @@
     from.get_host_addr(text.data(), static_cast<int>(text.size()));
     return {text.data(), from.get_port_number()};
 }
-}
+} // namespace
 
 class DatagramSocket::Implementation
 {
@@ -81,4 +81,4 @@
     this->implementation->socket.get_local_addr(local);
     return toAddress(local);
 }
-}
+} // namespace figpulley::net
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -31,7 +31,7 @@
     return ACE_Time_Value(static_cast<time_t>(duration.count() / microsecondsPerSecond),
                           static_cast<suseconds_t>(duration.count() % microsecondsPerSecond));
 }
-}
+} // namespace
 
 class EventLoop::Implementation
 {
@@ -262,4 +262,4 @@
 {
     this->implementation->turnEnd.push_back(std::move(callback));
 }
-}
+} // namespace figpulley::net
--- a/src/net/eventloop.h
+++ b/src/net/eventloop.h
@@ -52,4 +52,4 @@
     class Implementation;
     std::unique_ptr<Implementation> implementation;
 };
-}
+} // namespace figpulley::net
--- a/src/net/fwd.h
+++ b/src/net/fwd.h
@@ -12,4 +12,4 @@
 struct Header;
 struct HttpAnswer;
 struct HttpRequest;
-}
+} // namespace figpulley::net
--- a/src/net/header.cpp
+++ b/src/net/header.cpp
@@ -8,15 +8,8 @@
 namespace
 {
 constexpr std::array<std::string_view, 9> hopByHop {
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
+    "connection",        "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te", "trailer",
+    "transfer-encoding", "upgrade",
 };
 
 constexpr char toLower(char character) noexcept
@@ -24,7 +17,7 @@
     constexpr char caseOffset = 'a' - 'A';
     return character >= 'A' && character <= 'Z' ? static_cast<char>(character + caseOffset) : character;
 }
-}
+} // namespace
 
 bool isSameName(std::string_view left, std::string_view right) noexcept
 {
@@ -45,4 +38,4 @@
 {
     return std::any_of(hopByHop.begin(), hopByHop.end(), [name](std::string_view known) { return isSameName(known, name); });
 }
-}
+} // namespace figpulley::net
--- a/src/net/header.h
+++ b/src/net/header.h
@@ -7,7 +7,8 @@
 namespace figpulley::net
 {
 /// One HTTP header field.
-struct Header {
+struct Header
+{
     std::string name;
     std::string value;
 };
@@ -23,4 +24,4 @@
 
 /// Whether a field concerns one connection only and is not passed on.
 [[nodiscard]] bool isHopByHop(std::string_view name) noexcept;
-}
+} // namespace figpulley::net
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -23,18 +23,20 @@
 constexpr int httpNotModified = 304;
 constexpr int httpFirstFinal = 200;
 
-struct GlobalCurl {
+struct GlobalCurl
+{
     GlobalCurl()
     {
         curl_global_init(CURL_GLOBAL_DEFAULT);
     }
 };
-}
+} // namespace
 
 class HttpClient::Implementation
 {
 public:
-    struct Transfer {
+    struct Transfer
+    {
         TransferId id {};
         CURL *handle = nullptr;
         curl_slist *headerList = nullptr;
@@ -122,7 +124,8 @@
         auto value = line.substr(colon + 1);
         const auto first = value.find_first_not_of(" \t");
         const auto last = value.find_last_not_of(" \t\r\n");
-        value = first == std::string_view::npos || last == std::string_view::npos || last < first ? std::string_view() : value.substr(first, last - first + 1);
+        value = first == std::string_view::npos || last == std::string_view::npos || last < first ? std::string_view()
+                                                                                                  : value.substr(first, last - first + 1);
         const auto name = line.substr(0, colon);
         if (isSameName(name, "Content-Length")) {
             std::size_t length = 0;
@@ -392,4 +395,4 @@
         curl_easy_pause(found->second->handle, CURLPAUSE_CONT);
     }
 }
-}
+} // namespace figpulley::net
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -16,7 +16,8 @@
 namespace figpulley::net
 {
 /// A request to be sent.
-struct ClientRequest {
+struct ClientRequest
+{
     std::string method = "GET";
     std::string url;
     Headers headers;
@@ -29,35 +30,38 @@
 };
 
 /// The head of an answer.
-struct ClientAnswerHead {
+struct ClientAnswerHead
+{
     int status = 0;
     Headers headers;
     std::optional<std::size_t> length; ///< announced length of the body
 };
 
 /// How an exchange ended.
-struct ClientResult {
+struct ClientResult
+{
     core::ErrorKind kind = core::ErrorKind::None; ///< None: the answer arrived in whole
     std::string detail; ///< libcurl's words
 };
 
 /// Receives an answer piece by piece.
-struct ClientCallbacks {
+struct ClientCallbacks
+{
     std::function<void(const ClientAnswerHead &)> onHead;
     std::function<bool(std::string_view)> onData; ///< returns false to pause; resume() goes on after the piece, which counts as taken
     std::function<void(const ClientResult &)> onDone;
 };
 
 /// A whole answer.
-struct ClientAnswer {
+struct ClientAnswer
+{
     ClientResult result;
     ClientAnswerHead head;
     std::string body;
 };
 
 /// Names an exchange in flight.
-enum class TransferId : std::uint64_t {
-};
+enum class TransferId : std::uint64_t {};
 
 /// Sends HTTP requests on an event loop. Built on libcurl.
 class HttpClient
@@ -85,4 +89,4 @@
     class Implementation;
     std::unique_ptr<Implementation> implementation;
 };
-}
+} // namespace figpulley::net
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,6 +1,9 @@
 #include "net/httpserver.h"
 
+#include "core/errorkind.h"
+
 #include <array>
+#include <charconv>
 #include <chrono>
 #include <cstring>
 #include <stdexcept>
@@ -29,8 +32,6 @@
 constexpr int runsPerTurn = 16;
 constexpr std::size_t streamBlock = 32UL * 1024UL;
 constexpr int listenBacklog = 1024;
-constexpr int httpBadRequest = 400;
-constexpr int httpTooLarge = 413;
 
 int openListener(const Address &address)
 {
@@ -49,7 +50,7 @@
     }
     return listener;
 }
-}
+} // namespace
 
 class HttpServer::Implementation
 {
@@ -59,14 +60,8 @@
     Implementation(EventLoop &loop, const Address &address, Handler handler, HttpServerLimits limits);
     ~Implementation();
 
-    static MHD_Result onAccess(void *context,
-                               MHD_Connection *connection,
-                               const char *url,
-                               const char *method,
-                               const char *version,
-                               const char *data,
-                               std::size_t *size,
-                               void **state);
+    static MHD_Result onAccess(void *context, MHD_Connection *connection, const char *url, const char *method, const char *version,
+                               const char *data, std::size_t *size, void **state);
     static void onCompleted(void *context, MHD_Connection *connection, void **state, MHD_RequestTerminationCode code);
     static void *keepUri(void *context, const char *uri, MHD_Connection *connection);
     void serve();
@@ -131,7 +126,8 @@
                 self->resume();
             }
         };
-        this->response = MHD_create_response_from_callback(size ? *size : MHD_SIZE_UNKNOWN, streamBlock, &Exchange::readBody, this, nullptr);
+        this->response =
+            MHD_create_response_from_callback(size ? *size : MHD_SIZE_UNKNOWN, streamBlock, &Exchange::readBody, this, nullptr);
         this->addHeaders(headers);
         this->resume();
     }
@@ -184,6 +180,9 @@
         }
     }
 
+    // Refuses by the head alone, before any of the body is read.
+    bool refuseEarly();
+
     [[nodiscard]] MHD_Result sendResponse()
     {
         return MHD_queue_response(this->connection, static_cast<unsigned>(this->status), this->response);
@@ -233,17 +232,49 @@
     return MHD_YES;
 }
 
-// Two framings of one body are how requests are smuggled past a proxy; so are two lengths that differ.
+// Two framings of one body are how requests are smuggled past a proxy; so are two lengths, and encodings that are not chunked.
 bool hasAmbiguousLength(const Headers &headers)
 {
-    int lengths = 0;
-    int encodings = 0;
+    int framings = 0;
     for (const auto &header : headers) {
-        lengths += isSameName(header.name, "Content-Length") ? 1 : 0;
-        encodings += isSameName(header.name, "Transfer-Encoding") ? 1 : 0;
+        const bool isEncoding = isSameName(header.name, "Transfer-Encoding");
+        if (isEncoding && !isSameName(header.value, "chunked")) {
+            return true;
+        }
+        framings += isEncoding || isSameName(header.name, "Content-Length") ? 1 : 0;
     }
-    return lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0);
+    return framings > 1;
 }
+
+std::size_t announcedLength(const Headers &headers)
+{
+    const auto text = findHeader(headers, "Content-Length");
+    std::size_t length = 0;
+    std::from_chars(text.data(), text.data() + text.size(), length);
+    return length;
+}
+
+HttpAnswer refusal(core::ErrorKind kind)
+{
+    const auto &row = core::answerFor(kind);
+    return {row.httpStatus,
+            {{"Figpulley-Kind", std::string(row.name)}, {"Figpulley-Ran", std::string(core::name(row.ran))}, {"Connection", "close"}},
+            std::string(row.wording) + "\n"};
+}
+
+} // namespace
+
+bool HttpServer::Implementation::Exchange::refuseEarly()
+{
+    if (hasAmbiguousLength(this->content.headers)) {
+        this->answer(refusal(core::ErrorKind::BadRequest));
+        return true;
+    }
+    if (announcedLength(this->content.headers) > this->server->limits.bodyBytes) {
+        this->answer(refusal(core::ErrorKind::BodyTooLarge));
+        return true;
+    }
+    return false;
 }
 
 void *HttpServer::Implementation::keepUri(void *context, const char *uri, MHD_Connection *connection)
@@ -257,14 +288,8 @@
     return new std::shared_ptr<Exchange>(std::move(exchange));
 }
 
-MHD_Result HttpServer::Implementation::onAccess(void *context,
-                                                MHD_Connection *connection,
-                                                const char * /*url*/,
-                                                const char *method,
-                                                const char * /*version*/,
-                                                const char *data,
-                                                std::size_t *size,
-                                                void **state)
+MHD_Result HttpServer::Implementation::onAccess(void *context, MHD_Connection *connection, const char * /*url*/, const char *method,
+                                                const char * /*version*/, const char *data, std::size_t *size, void **state)
 {
     auto &server = *static_cast<Implementation *>(context);
     const auto exchange = *static_cast<std::shared_ptr<Exchange> *>(*state);
@@ -274,7 +299,7 @@
     if (exchange->content.method.empty()) {
         exchange->content.method = method;
         MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectHeader, &exchange->content.headers);
-        return MHD_YES;
+        return exchange->refuseEarly() ? exchange->sendResponse() : MHD_YES;
     }
     if (*size > 0) {
         if (exchange->content.body.size() + *size > server.limits.bodyBytes) {
@@ -288,11 +313,7 @@
     if (!exchange->isHandled) {
         exchange->isHandled = true;
         if (exchange->isTooLarge) {
-            exchange->answer({httpTooLarge, {{"Figpulley-Kind", "body-too-large"}, {"Figpulley-Ran", "no"}}, "the request body exceeds the limit\n"});
-        } else if (hasAmbiguousLength(exchange->content.headers)) {
-            exchange->answer({httpBadRequest,
-                              {{"Figpulley-Kind", "bad-request"}, {"Figpulley-Ran", "no"}, {"Connection", "close"}},
-                              "ambiguous body length\n"});
+            exchange->answer(refusal(core::ErrorKind::BodyTooLarge));
         } else {
             server.handler(exchange);
         }
@@ -304,7 +325,8 @@
     return MHD_YES;
 }
 
-void HttpServer::Implementation::onCompleted(void * /*context*/, MHD_Connection * /*connection*/, void **state, MHD_RequestTerminationCode code)
+void HttpServer::Implementation::onCompleted(void * /*context*/, MHD_Connection * /*connection*/, void **state,
+                                             MHD_RequestTerminationCode code)
 {
     auto *holder = static_cast<std::shared_ptr<Exchange> *>(*state);
     if (holder == nullptr) {
@@ -332,29 +354,11 @@
     , limits(limits)
     , listener(openListener(address))
 {
-    this->daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME,
-                                    0,
-                                    nullptr,
-                                    nullptr,
-                                    &Implementation::onAccess,
-                                    this,
-                                    MHD_OPTION_LISTEN_SOCKET,
-                                    this->listener,
-                                    MHD_OPTION_NOTIFY_COMPLETED,
-                                    &Implementation::onCompleted,
-                                    this,
-                                    MHD_OPTION_URI_LOG_CALLBACK,
-                                    &Implementation::keepUri,
-                                    this,
-                                    MHD_OPTION_CONNECTION_LIMIT,
-                                    static_cast<unsigned>(limits.connections),
-                                    MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-                                    limits.headerBytes,
-                                    MHD_OPTION_CONNECTION_TIMEOUT,
-                                    limits.idleSeconds,
-                                    MHD_OPTION_STRICT_FOR_CLIENT,
-                                    1,
-                                    MHD_OPTION_END);
+    this->daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr, &Implementation::onAccess, this,
+                                    MHD_OPTION_LISTEN_SOCKET, this->listener, MHD_OPTION_NOTIFY_COMPLETED, &Implementation::onCompleted,
+                                    this, MHD_OPTION_URI_LOG_CALLBACK, &Implementation::keepUri, this, MHD_OPTION_CONNECTION_LIMIT,
+                                    static_cast<unsigned>(limits.connections), MHD_OPTION_CONNECTION_MEMORY_LIMIT, limits.headerBytes,
+                                    MHD_OPTION_CONNECTION_TIMEOUT, limits.idleSeconds, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
     if (this->daemon == nullptr) {
         close(this->listener);
         throw std::runtime_error(fmt::format("cannot serve HTTP on {}", address.toString()));
@@ -453,4 +457,4 @@
         close(quiet);
     }
 }
-}
+} // namespace figpulley::net
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -14,7 +14,8 @@
 namespace figpulley::net
 {
 /// A request that has arrived in whole.
-struct HttpRequest {
+struct HttpRequest
+{
     std::string method;
     std::string path; ///< without the query
     std::string query; ///< with its question mark; empty if none
@@ -23,7 +24,8 @@
 };
 
 /// An answer whose body is known.
-struct HttpAnswer {
+struct HttpAnswer
+{
     int status = 200;
     Headers headers;
     std::string body;
@@ -53,7 +55,8 @@
 };
 
 /// Bounds against clients that send too much or too slowly.
-struct HttpServerLimits {
+struct HttpServerLimits
+{
     std::size_t connections = 4096;
     std::size_t bodyBytes = 1UL << 20U;
     std::size_t headerBytes = 32UL * 1024UL;
@@ -84,4 +87,4 @@
     class Implementation;
     std::unique_ptr<Implementation> implementation;
 };
-}
+} // namespace figpulley::net
--- a/src/net/loopthread.h
+++ b/src/net/loopthread.h
@@ -52,4 +52,4 @@
     EventLoop eventLoop;
     std::thread thread;
 };
-}
+} // namespace figpulley::net
--- a/src/net/query.cpp
+++ b/src/net/query.cpp
@@ -31,4 +31,4 @@
     }
     return number;
 }
-}
+} // namespace figpulley::net
--- a/src/net/query.h
+++ b/src/net/query.h
@@ -14,4 +14,4 @@
 /// Finds a numeric parameter.
 /// @returns nothing if it is absent or not a number
 [[nodiscard]] std::optional<std::uint64_t> queryNumber(std::string_view query, std::string_view name);
-}
+} // namespace figpulley::net
--- a/src/node/answerrelay.cpp
+++ b/src/node/answerrelay.cpp
@@ -112,4 +112,4 @@
     this->held.clear();
     this->exchange->answerFrom(this->answerHead.status, this->passedHeaders(extra), this->answerHead.length, this->pipe);
 }
-}
+} // namespace figpulley::node
--- a/src/node/answerrelay.h
+++ b/src/node/answerrelay.h
@@ -19,7 +19,8 @@
     static constexpr std::size_t heldBytes = 64UL * 1024UL;
 
     /// What the owner decides.
-    struct Callbacks {
+    struct Callbacks
+    {
         std::function<bool(const net::ClientAnswerHead &)> onCommit; ///< a large answer begins to pass; false drops it
         std::function<void(const net::ClientResult &)> onDone; ///< the transfer has ended, in whole or not
     };
@@ -58,4 +59,4 @@
     bool isOver = false;
     bool isDropped = false;
 };
-}
+} // namespace figpulley::node
--- a/src/node/contactlist.cpp
+++ b/src/node/contactlist.cpp
@@ -39,15 +39,15 @@
     std::vector<std::string> live {state.self.controlAddress};
     for (const auto &[id, member] : state.members) {
         const auto &announcement = member.announcement;
-        if (announcement.availabilityZone == state.self.availabilityZone && announcement.claim == members::Claim::Alive && !announcement.isLeaving) {
+        if (announcement.availabilityZone == state.self.availabilityZone && announcement.claim == members::Claim::Alive
+            && !announcement.isLeaving) {
             live.push_back(announcement.controlAddress);
         }
     }
     std::sort(live.begin(), live.end());
     std::vector<std::string> kept;
-    std::copy_if(present.begin(), present.end(), std::back_inserter(kept), [&](const std::string &address) {
-        return std::binary_search(live.begin(), live.end(), address);
-    });
+    std::copy_if(present.begin(), present.end(), std::back_inserter(kept),
+                 [&](const std::string &address) { return std::binary_search(live.begin(), live.end(), address); });
     const auto wanted = std::min(contactsPerZone, live.size());
     // Written only when fewer than three quarters are left: a rolling replacement costs few writes.
     if (kept.size() * 4 >= wanted * 3) {
@@ -60,4 +60,4 @@
     }
     return kept;
 }
-}
+} // namespace figpulley::node
--- a/src/node/contactlist.h
+++ b/src/node/contactlist.h
@@ -26,5 +26,6 @@
 /// Decides whether a zone's contact points have to be written anew.
 /// @param present those in the platform
 /// @returns the new list, or nothing while most of the present ones are live
-[[nodiscard]] std::optional<std::vector<std::string>> contactsToPublish(const board::Blackboard &board, const std::vector<std::string> &present);
-}
+[[nodiscard]] std::optional<std::vector<std::string>> contactsToPublish(const board::Blackboard &board,
+                                                                        const std::vector<std::string> &present);
+} // namespace figpulley::node
--- a/src/node/controlface.cpp
+++ b/src/node/controlface.cpp
@@ -69,19 +69,17 @@
     options.seeds = settings.seeds;
     return options;
 }
-}
+} // namespace
 
 ControlFace::ControlFace(NodeContext context)
     : context(context)
     , swim(optionsFor(context.settings))
 {
-    this->server = std::make_unique<net::HttpServer>(context.loop, context.settings.control, [this](const std::shared_ptr<net::HttpExchange> &exchange) {
-        this->handle(exchange);
-    });
+    this->server = std::make_unique<net::HttpServer>(
+        context.loop, context.settings.control, [this](const std::shared_ptr<net::HttpExchange> &exchange) { this->handle(exchange); });
     // Datagrams and HTTP share one number, so that a node has one control address.
-    this->socket = std::make_unique<net::DatagramSocket>(context.loop, this->server->address(), [this](const net::Address &from, std::string_view bytes) {
-        this->receive(from, bytes);
-    });
+    this->socket = std::make_unique<net::DatagramSocket>(
+        context.loop, this->server->address(), [this](const net::Address &from, std::string_view bytes) { this->receive(from, bytes); });
     this->configController.offer(this->context.board, config::builtInConfiguration());
 }
 
@@ -108,13 +106,11 @@
     this->swim.start(this->context.board, core::steadyNow());
     this->followMembership();
     if (this->context.settings.platform) {
-        this->store = std::make_unique<platform::HttpObjectStore>(this->context.client, this->context.settings.platform->toString(), platformTimeout);
+        this->store =
+            std::make_unique<platform::HttpObjectStore>(this->context.client, this->context.settings.platform->toString(), platformTimeout);
         this->relay = std::make_shared<sync::ConfigRelay>(
-            *this->store,
-            [&loop](core::Duration delay, std::function<void()> callback) { loop.after(delay, std::move(callback)); },
-            this->snapshots,
-            [this](sync::Snapshot snapshot) { this->takeSnapshot(std::move(snapshot)); },
-            this->context.random());
+            *this->store, [&loop](core::Duration delay, std::function<void()> callback) { loop.after(delay, std::move(callback)); },
+            this->snapshots, [this](sync::Snapshot snapshot) { this->takeSnapshot(std::move(snapshot)); }, this->context.random());
         this->refreshContacts();
         this->timers.push_back(loop.every(contactsInterval, [this] { this->refreshContacts(); }));
     }
@@ -224,7 +220,8 @@
     this->snapshots.offer(std::move(snapshot));
     if (this->configController.offer(this->context.board, std::move(configuration))) {
         this->configProblem.clear();
-        core::log(LogLevel::Info, "config.in_force", {{"revision", fmt::to_string(revision)}, {"node", this->context.board.identity.controlAddress}});
+        core::log(LogLevel::Info, "config.in_force",
+                  {{"revision", fmt::to_string(revision)}, {"node", this->context.board.identity.controlAddress}});
     }
 }
 
@@ -281,7 +278,7 @@
         const bool isRead = result.kind == ErrorKind::None || result.kind == ErrorKind::NotFound;
         const auto wanted = isRead ? contactsToPublish(this->context.board, decodeContacts(result.object.value)) : std::nullopt;
         if (wanted) {
-            this->store->put(key, encodeContacts(*wanted), {result.object.version}, [](const platform::StoreResult &) { });
+            this->store->put(key, encodeContacts(*wanted), {result.object.version}, [](const platform::StoreResult &) {});
         }
     });
 }
@@ -323,7 +320,8 @@
         exchange->answer({200, {{"Content-Type", "application/json"}}, this->statusJson()});
     } else if (request.path == "/config") {
         const auto have = net::queryNumber(request.query, "have").value_or(0);
-        const bool isNode = this->context.settings.keys.isValid(fmt::format("config {}", have), net::findHeader(request.headers, proofHeader));
+        const bool isNode =
+            this->context.settings.keys.isValid(fmt::format("config {}", have), net::findHeader(request.headers, proofHeader));
         if (!isNode) {
             exchange->answer({httpForbidden, {}, "not a node\n"});
             return;
@@ -333,4 +331,4 @@
         exchange->answer({httpNotFound, {}, "known paths: /metrics /status /config\n"});
     }
 }
-}
+} // namespace figpulley::node
--- a/src/node/controlface.h
+++ b/src/node/controlface.h
@@ -18,7 +18,8 @@
 namespace figpulley::node
 {
 /// Control traffic of one node, as counted since its start.
-struct ControlTraffic {
+struct ControlTraffic
+{
     std::uint64_t datagramsSent = 0;
     std::uint64_t datagramsReceived = 0;
     std::uint64_t bytesSent = 0;
@@ -79,4 +80,4 @@
     ControlTraffic counted;
     std::vector<net::EventLoop::TimerId> timers;
 };
-}
+} // namespace figpulley::node
--- a/src/node/egressface.cpp
+++ b/src/node/egressface.cpp
@@ -36,7 +36,7 @@
     }
     return std::chrono::milliseconds(milliseconds);
 }
-}
+} // namespace
 
 /// One call and its transport, from arrival to answer.
 class EgressFace::Call : public std::enable_shared_from_this<EgressFace::Call>
@@ -54,7 +54,8 @@
         auto &context = this->face.context;
         const auto &request = this->exchange->request();
         this->started = core::steadyNow();
-        this->trace = parseTraceParent(net::findHeader(request.headers, traceHeader)).value_or(TraceParent {context.random(), context.random(), 0, 1});
+        this->trace = parseTraceParent(net::findHeader(request.headers, traceHeader))
+                          .value_or(TraceParent {context.random(), context.random(), 0, 1});
         decide::CallRequest call;
         call.service = serviceOf(request.headers);
         call.method = request.method;
@@ -130,7 +131,8 @@
         span.span = core::value(attempt.envelope.attempt);
         request.headers.push_back({std::string(traceHeader), span.toString()});
         const auto envelope = core::encode(attempt.envelope);
-        request.headers.push_back({std::string(proofHeader), context.settings.keys.sign(envelope + "\n" + incoming.method + " " + incoming.path)});
+        request.headers.push_back(
+            {std::string(proofHeader), context.settings.keys.sign(envelope + "\n" + incoming.method + " " + incoming.path)});
         request.headers.push_back({std::string(callHeader), envelope});
         context.metrics.countAttempt(this->service, this->hasAttempted);
         this->hasAttempted = true;
@@ -252,15 +254,11 @@
 {
     const net::HttpServerLimits limits {.bodyBytes = context.settings.largestBody};
     this->entrance = std::make_unique<net::HttpServer>(
-        context.loop,
-        context.settings.entrance,
-        [this](std::shared_ptr<net::HttpExchange> exchange) { this->accept(std::move(exchange), false); },
-        limits);
+        context.loop, context.settings.entrance,
+        [this](std::shared_ptr<net::HttpExchange> exchange) { this->accept(std::move(exchange), false); }, limits);
     this->nested = std::make_unique<net::HttpServer>(
-        context.loop,
-        context.settings.nested,
-        [this](std::shared_ptr<net::HttpExchange> exchange) { this->accept(std::move(exchange), true); },
-        limits);
+        context.loop, context.settings.nested,
+        [this](std::shared_ptr<net::HttpExchange> exchange) { this->accept(std::move(exchange), true); }, limits);
 }
 
 EgressFace::~EgressFace() = default;
@@ -285,4 +283,4 @@
     const auto call = std::make_shared<Call>(*this, core::CallId {this->nextCall++}, std::move(exchange));
     call->start(isNested);
 }
-}
+} // namespace figpulley::node
--- a/src/node/egressface.h
+++ b/src/node/egressface.h
@@ -34,4 +34,4 @@
     std::unique_ptr<net::HttpServer> entrance;
     std::unique_ptr<net::HttpServer> nested;
 };
-}
+} // namespace figpulley::node
--- a/src/node/fwd.h
+++ b/src/node/fwd.h
@@ -10,4 +10,4 @@
 class NodeMetrics;
 struct NodeContext;
 struct NodeSettings;
-}
+} // namespace figpulley::node
--- a/src/node/headernames.h
+++ b/src/node/headernames.h
@@ -15,4 +15,4 @@
 inline constexpr std::string_view ranHeader = "Figpulley-Ran"; ///< whether the call ran: no, unknown or yes
 inline constexpr std::string_view retriesHeader = "Figpulley-Retries"; ///< retries spent over the whole chain of a call
 inline constexpr std::string_view traceHeader = "traceparent"; ///< W3C trace context
-}
+} // namespace figpulley::node
--- a/src/node/ingressface.cpp
+++ b/src/node/ingressface.cpp
@@ -22,7 +22,7 @@
 {
     return {{std::string(outcomeHeader), core::encode(outcome)}};
 }
-}
+} // namespace
 
 /// One call at the ingress and its run on the upstream.
 class IngressFace::Run : public std::enable_shared_from_this<IngressFace::Run>
@@ -167,9 +167,7 @@
     : context(context)
 {
     this->server = std::make_unique<net::HttpServer>(
-        context.loop,
-        context.settings.ingress,
-        [this](std::shared_ptr<net::HttpExchange> exchange) { this->accept(std::move(exchange)); },
+        context.loop, context.settings.ingress, [this](std::shared_ptr<net::HttpExchange> exchange) { this->accept(std::move(exchange)); },
         net::HttpServerLimits {.bodyBytes = context.settings.largestBody});
 }
 
@@ -232,4 +230,4 @@
 {
     this->carryOut(this->controller.tick(this->context.board, core::steadyNow()));
 }
-}
+} // namespace figpulley::node
--- a/src/node/ingressface.h
+++ b/src/node/ingressface.h
@@ -37,4 +37,4 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<Run>> runs;
     std::unique_ptr<net::HttpServer> server;
 };
-}
+} // namespace figpulley::node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -29,7 +29,7 @@
     const auto now = std::chrono::system_clock::now().time_since_epoch();
     return core::Incarnation {static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count())};
 }
-}
+} // namespace
 
 Node::Node(net::EventLoop &loop, NodeSettings settings)
     : loop(loop)
@@ -59,8 +59,7 @@
 {
     this->control->start();
     this->tickTimer = this->loop.every(tickInterval, [this] { this->tick(); });
-    core::log(core::LogLevel::Info,
-              "node.started",
+    core::log(core::LogLevel::Info, "node.started",
               {{"service", this->settings.service},
                {"zone", this->settings.availabilityZone},
                {"entrance", this->entranceAddress().toString()},
@@ -121,4 +120,4 @@
 {
     return this->control->traffic();
 }
-}
+} // namespace figpulley::node
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -64,4 +64,4 @@
     std::function<void(std::size_t)> onStopped;
     net::EventLoop::TimerId tickTimer = net::EventLoop::noTimer;
 };
-}
+} // namespace figpulley::node
--- a/src/node/nodecontext.h
+++ b/src/node/nodecontext.h
@@ -10,7 +10,8 @@
 namespace figpulley::node
 {
 /// What the faces of one node share. One thread uses it.
-struct NodeContext {
+struct NodeContext
+{
     net::EventLoop &loop;
     net::HttpClient &client;
     const NodeSettings &settings;
@@ -18,4 +19,4 @@
     core::Random &random;
     NodeMetrics &metrics;
 };
-}
+} // namespace figpulley::node
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -28,17 +28,19 @@
 {
     return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
 }
-}
+} // namespace
 
 class NodeMetrics::Implementation
 {
 public:
     std::shared_ptr<prometheus::Registry> registry = std::make_shared<prometheus::Registry>();
     Family<Counter> &calls = counterFamily(*this->registry, "figpulley_calls_total", "Calls answered by the egress");
-    Family<Histogram> &callSeconds = histogramFamily(*this->registry, "figpulley_call_duration_seconds", "Time from a call's arrival at the egress to its answer");
+    Family<Histogram> &callSeconds =
+        histogramFamily(*this->registry, "figpulley_call_duration_seconds", "Time from a call's arrival at the egress to its answer");
     Family<Counter> &attempts = counterFamily(*this->registry, "figpulley_attempts_total", "Attempts sent to endpoints");
     Family<Counter> &ingress = counterFamily(*this->registry, "figpulley_ingress_calls_total", "Calls answered by the ingress");
-    Family<Histogram> &ingressSeconds = histogramFamily(*this->registry, "figpulley_ingress_duration_seconds", "Time from a call's arrival at the ingress to its answer");
+    Family<Histogram> &ingressSeconds =
+        histogramFamily(*this->registry, "figpulley_ingress_duration_seconds", "Time from a call's arrival at the ingress to its answer");
     std::map<std::string, Gauge *, std::less<>> gauges;
 };
 
@@ -49,15 +51,13 @@
 
 NodeMetrics::~NodeMetrics() = default;
 
-void NodeMetrics::countCall(const std::string &service,
-                            const std::string &route,
-                            const std::string &priority,
-                            core::ErrorKind kind,
-                            int status,
-                            core::Duration latency)
+void NodeMetrics::countCall(const std::string &service, const std::string &route, const std::string &priority, core::ErrorKind kind,
+                            int status, core::Duration latency)
 {
     const std::string kindName(core::answerFor(kind).name);
-    this->implementation->calls.Add({{"service", service}, {"route", route}, {"priority", priority}, {"kind", kindName}, {"code", fmt::to_string(status)}}).Increment();
+    this->implementation->calls
+        .Add({{"service", service}, {"route", route}, {"priority", priority}, {"kind", kindName}, {"code", fmt::to_string(status)}})
+        .Increment();
     this->implementation->callSeconds.Add({{"service", service}, {"route", route}}, latencyBuckets).Observe(core::toSeconds(latency));
 }
 
@@ -91,4 +91,4 @@
 {
     return *this->implementation->registry;
 }
-}
+} // namespace figpulley::node
--- a/src/node/nodemetrics.h
+++ b/src/node/nodemetrics.h
@@ -14,12 +14,13 @@
 class Gauge;
 class Histogram;
 class Registry;
-}
+} // namespace prometheus
 
 namespace figpulley::node
 {
 /// One value of a gauge that is set when metrics are read.
-struct GaugeValue {
+struct GaugeValue
+{
     std::string_view name;
     double value = 0;
 };
@@ -36,7 +37,8 @@
     /// Counts a call that the egress answered.
     /// @param priority name of the level
     /// @param status HTTP status of the answer
-    void countCall(const std::string &service, const std::string &route, const std::string &priority, core::ErrorKind kind, int status, core::Duration latency);
+    void countCall(const std::string &service, const std::string &route, const std::string &priority, core::ErrorKind kind, int status,
+                   core::Duration latency);
 
     /// Counts an attempt sent to an endpoint.
     void countAttempt(const std::string &service, bool isRetry);
@@ -55,4 +57,4 @@
     class Implementation;
     std::unique_ptr<Implementation> implementation;
 };
-}
+} // namespace figpulley::node
--- a/src/node/nodesettings.cpp
+++ b/src/node/nodesettings.cpp
@@ -18,9 +18,11 @@
     KeySpec {"availability_zone", KeyType::String, "", 1, 64, "availability zone of this VM"},
     KeySpec {"service", KeyType::String, "\"\"", 0, 64, "service of the upstream on this VM; empty if it has none"},
     KeySpec {"entrance", KeyType::String, "", 9, 21, "ip:port for clients"},
-    KeySpec {"nested", KeyType::String, "", 9, 21, "ip:port for calls that the upstream on this VM makes; bind it to an address that only this VM reaches"},
+    KeySpec {"nested", KeyType::String, "", 9, 21,
+             "ip:port for calls that the upstream on this VM makes; bind it to an address that only this VM reaches"},
     KeySpec {"ingress", KeyType::String, "", 9, 21, "ip:port for calls from other nodes"},
-    KeySpec {"control", KeyType::String, "", 9, 21, "ip:port for datagrams between nodes, and for configuration, status and metrics by HTTP"},
+    KeySpec {"control", KeyType::String, "", 9, 21,
+             "ip:port for datagrams between nodes, and for configuration, status and metrics by HTTP"},
     KeySpec {"upstream", KeyType::String, "\"\"", 0, 21, "ip:port of the upstream on this VM; empty if it has none"},
     KeySpec {"platform", KeyType::String, "\"\"", 0, 21, "ip:port of the platform's object API; empty if there is none"},
     KeySpec {"seeds", KeyType::Strings, "[]", 0, 64, "control addresses of nodes to join by when the platform does not answer"},
@@ -62,7 +64,7 @@
         settings.keys.add(key.string("id"), key.string("secret"));
     }
 }
-}
+} // namespace
 
 const text::SectionSpec &nodeSettingsSection() noexcept
 {
@@ -113,4 +115,4 @@
     }
     return settings;
 }
-}
+} // namespace figpulley::node
--- a/src/node/nodesettings.h
+++ b/src/node/nodesettings.h
@@ -14,7 +14,8 @@
 namespace figpulley::node
 {
 /// What a node's process is told at start: addresses, zone, keys. Everything else comes by configuration.
-struct NodeSettings {
+struct NodeSettings
+{
     std::string availabilityZone;
     std::string service; ///< of the upstream on this VM; empty for a node that only takes clients' calls
     net::Address entrance; ///< for clients
@@ -42,4 +43,4 @@
 /// @param problems receives the errors with line and column
 /// @returns nothing after an error
 [[nodiscard]] std::optional<NodeSettings> readNodeSettings(const std::string &file, std::string_view source, text::Problems &problems);
-}
+} // namespace figpulley::node
--- a/src/node/ownanswer.cpp
+++ b/src/node/ownanswer.cpp
@@ -33,4 +33,4 @@
     const bool isOurs = name.size() >= headerPrefix.size() && net::isSameName(name.substr(0, headerPrefix.size()), headerPrefix);
     return !isOurs && !net::isHopByHop(name) && !net::isSameName(name, "Content-Length") && !net::isSameName(name, "Expect");
 }
-}
+} // namespace figpulley::node
--- a/src/node/ownanswer.h
+++ b/src/node/ownanswer.h
@@ -10,4 +10,4 @@
 
 /// Whether a header of a request or an answer is passed on.
 [[nodiscard]] bool isPassedOn(std::string_view name) noexcept;
-}
+} // namespace figpulley::node
--- a/src/node/statusreport.cpp
+++ b/src/node/statusreport.cpp
@@ -39,7 +39,7 @@
     }
     return services;
 }
-}
+} // namespace
 
 std::string statusReport(const board::Blackboard &board, const StatusInputs &inputs, core::TimePoint now)
 {
@@ -71,4 +71,4 @@
     };
     return report.dump(1) + "\n";
 }
-}
+} // namespace figpulley::node
--- a/src/node/statusreport.h
+++ b/src/node/statusreport.h
@@ -8,7 +8,8 @@
 namespace figpulley::node
 {
 /// What a status report needs besides the blackboard.
-struct StatusInputs {
+struct StatusInputs
+{
     const sync::Manifest *manifest = nullptr;
     std::string configProblem;
     bool isPlatformReachable = false;
@@ -22,4 +23,4 @@
 
 /// Writes one node's status as JSON: configuration, zones, services as seen from here, and its own admission.
 [[nodiscard]] std::string statusReport(const board::Blackboard &board, const StatusInputs &inputs, core::TimePoint now);
-}
+} // namespace figpulley::node
--- a/src/node/traceparent.cpp
+++ b/src/node/traceparent.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t flagsAt = 53;
 constexpr std::size_t numberLength = 16;
 constexpr std::size_t flagsLength = 2;
-}
+} // namespace
 
 std::string TraceParent::toString() const
 {
@@ -31,12 +31,12 @@
     TraceParent trace;
     std::uint64_t flags = 0;
     const bool isRead = core::fromHex(text.substr(traceHighAt, numberLength), trace.traceHigh)
-        && core::fromHex(text.substr(traceLowAt, numberLength), trace.traceLow) && core::fromHex(text.substr(spanAt, numberLength), trace.span)
-        && core::fromHex(text.substr(flagsAt, flagsLength), flags);
+        && core::fromHex(text.substr(traceLowAt, numberLength), trace.traceLow)
+        && core::fromHex(text.substr(spanAt, numberLength), trace.span) && core::fromHex(text.substr(flagsAt, flagsLength), flags);
     if (!isRead) {
         return std::nullopt;
     }
     trace.flags = static_cast<std::uint8_t>(flags);
     return trace;
 }
-}
+} // namespace figpulley::node
--- a/src/node/traceparent.h
+++ b/src/node/traceparent.h
@@ -8,7 +8,8 @@
 namespace figpulley::node
 {
 /// The W3C `traceparent` header, version 00.
-struct TraceParent {
+struct TraceParent
+{
     std::uint64_t traceHigh = 0;
     std::uint64_t traceLow = 0;
     std::uint64_t span = 0;
@@ -23,4 +24,4 @@
 ///
 /// Example: `parseTraceParent("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01")`
 [[nodiscard]] std::optional<TraceParent> parseTraceParent(std::string_view text) noexcept;
-}
+} // namespace figpulley::node
--- a/src/platform/fwd.h
+++ b/src/platform/fwd.h
@@ -7,4 +7,4 @@
 class ObjectStore;
 struct StoredObject;
 struct StoreResult;
-}
+} // namespace figpulley::platform
--- a/src/platform/httpobjectstore.cpp
+++ b/src/platform/httpobjectstore.cpp
@@ -70,7 +70,7 @@
     }
     return result;
 }
-}
+} // namespace
 
 HttpObjectStore::HttpObjectStore(net::HttpClient &client, std::string address, core::Duration timeout)
     : client(client)
@@ -91,9 +91,8 @@
 
 void HttpObjectStore::get(const std::string &key, Callback callback)
 {
-    this->client.fetch(this->request("GET", "/v1/objects/" + key), largestAnswer, [callback = std::move(callback)](const net::ClientAnswer &answer) {
-        callback(resultOf(answer, false));
-    });
+    this->client.fetch(this->request("GET", "/v1/objects/" + key), largestAnswer,
+                       [callback = std::move(callback)](const net::ClientAnswer &answer) { callback(resultOf(answer, false)); });
 }
 
 void HttpObjectStore::put(const std::string &key, const std::string &value, WriteCondition condition, Callback callback)
@@ -105,7 +104,8 @@
     } else if (condition.version) {
         request.headers.push_back({"If-Match", fmt::format("\"{}\"", *condition.version)});
     }
-    this->client.fetch(request, largestAnswer, [callback = std::move(callback)](const net::ClientAnswer &answer) { callback(resultOf(answer, true)); });
+    this->client.fetch(request, largestAnswer,
+                       [callback = std::move(callback)](const net::ClientAnswer &answer) { callback(resultOf(answer, true)); });
 }
 
 void HttpObjectStore::watch(const std::string &key, std::uint64_t known, core::Duration timeout, Callback callback)
@@ -123,21 +123,22 @@
 
 void HttpObjectStore::list(const std::string &prefix, ListCallback callback)
 {
-    this->client.fetch(this->request("GET", "/v1/list?prefix=" + prefix), largestList, [callback = std::move(callback)](const net::ClientAnswer &answer) {
-        ListResult result;
-        if (answer.result.kind != ErrorKind::None || answer.head.status != httpOk) {
-            result.kind = ErrorKind::PlatformUnavailable;
-            callback(result);
-            return;
-        }
-        try {
-            for (const auto &item : nlohmann::json::parse(answer.body)) {
-                result.names.push_back({item.at("key").get<std::string>(), item.at("version").get<std::uint64_t>()});
-            }
-        } catch (const nlohmann::json::exception &) {
-            result.kind = ErrorKind::PlatformUnavailable;
-        }
-        callback(result);
-    });
-}
+    this->client.fetch(this->request("GET", "/v1/list?prefix=" + prefix), largestList,
+                       [callback = std::move(callback)](const net::ClientAnswer &answer) {
+                           ListResult result;
+                           if (answer.result.kind != ErrorKind::None || answer.head.status != httpOk) {
+                               result.kind = ErrorKind::PlatformUnavailable;
+                               callback(result);
+                               return;
+                           }
+                           try {
+                               for (const auto &item : nlohmann::json::parse(answer.body)) {
+                                   result.names.push_back({item.at("key").get<std::string>(), item.at("version").get<std::uint64_t>()});
+                               }
+                           } catch (const nlohmann::json::exception &) {
+                               result.kind = ErrorKind::PlatformUnavailable;
+                           }
+                           callback(result);
+                       });
 }
+} // namespace figpulley::platform
--- a/src/platform/httpobjectstore.h
+++ b/src/platform/httpobjectstore.h
@@ -25,4 +25,4 @@
     std::string address;
     core::Duration timeout;
 };
-}
+} // namespace figpulley::platform
--- a/src/platform/objectstore.h
+++ b/src/platform/objectstore.h
@@ -15,30 +15,35 @@
 inline constexpr std::size_t largestValue = 1UL << 20U;
 
 /// A value and its version.
-struct StoredObject {
+struct StoredObject
+{
     std::string value;
     std::uint64_t version = 0; ///< 0: absent
 };
 
 /// Condition of a write.
-struct WriteCondition {
+struct WriteCondition
+{
     std::optional<std::uint64_t> version; ///< the object has this version; 0: it is absent; none: any
 };
 
 /// How a call to the platform ended.
-struct StoreResult {
+struct StoreResult
+{
     core::ErrorKind kind = core::ErrorKind::None; ///< NotFound, Conflict, PlatformUnavailable, PlatformOutcomeUnknown or None
     StoredObject object; ///< after a read; after a write only the version
 };
 
 /// Key and version of one object.
-struct ObjectName {
+struct ObjectName
+{
     std::string key;
     std::uint64_t version = 0;
 };
 
 /// The keys under a prefix.
-struct ListResult {
+struct ListResult
+{
     core::ErrorKind kind = core::ErrorKind::None;
     std::vector<ObjectName> names;
 };
@@ -66,4 +71,4 @@
     ObjectStore(const ObjectStore &) = delete;
     ObjectStore &operator=(const ObjectStore &) = delete;
 };
-}
+} // namespace figpulley::platform
--- a/src/standin/fwd.h
+++ b/src/standin/fwd.h
@@ -8,4 +8,4 @@
 class RunLog;
 class UpstreamServer;
 struct UpstreamOptions;
-}
+} // namespace figpulley::standin
--- a/src/standin/objecttable.cpp
+++ b/src/standin/objecttable.cpp
@@ -41,4 +41,4 @@
 {
     this->objects[key] = object;
 }
-}
+} // namespace figpulley::standin
--- a/src/standin/objecttable.h
+++ b/src/standin/objecttable.h
@@ -23,4 +23,4 @@
     std::map<std::string, platform::StoredObject> objects;
     std::uint64_t lastVersion = 0;
 };
-}
+} // namespace figpulley::standin
--- a/src/standin/platformserver.cpp
+++ b/src/standin/platformserver.cpp
@@ -61,11 +61,12 @@
     }
     return condition;
 }
-}
+} // namespace
 
 PlatformServer::PlatformServer(net::EventLoop &loop, const net::Address &address)
     : loop(loop)
-    , server(loop, address, [this](const std::shared_ptr<net::HttpExchange> &exchange) { this->handle(exchange); }, {.bodyBytes = platform::largestValue + 1})
+    , server(loop, address, [this](const std::shared_ptr<net::HttpExchange> &exchange) { this->handle(exchange); },
+             {.bodyBytes = platform::largestValue + 1})
 {
 }
 
@@ -197,4 +198,4 @@
         exchange->answer({httpBadRequest, {}, std::string(error.what()) + "\n"});
     }
 }
-}
+} // namespace figpulley::standin
--- a/src/standin/platformserver.h
+++ b/src/standin/platformserver.h
@@ -9,14 +9,16 @@
 namespace figpulley::standin
 {
 /// Faults that the stand-in platform shows.
-struct PlatformFaults {
+struct PlatformFaults
+{
     bool isDown = false; ///< every call fails
     core::Duration delay {}; ///< before each answer
     int answersToLose = 0; ///< writes that take effect and whose answer is then lost
 };
 
 /// Calls that the stand-in platform has served; a waiting watch counts as one read.
-struct PlatformCounts {
+struct PlatformCounts
+{
     std::uint64_t reads = 0;
     std::uint64_t writes = 0;
     std::uint64_t watches = 0;
@@ -38,7 +40,8 @@
     void setFaults(const PlatformFaults &faults);
 
 private:
-    struct Watcher {
+    struct Watcher
+    {
         std::string key;
         std::uint64_t known = 0;
         std::shared_ptr<net::HttpExchange> exchange;
@@ -60,4 +63,4 @@
     std::list<Watcher> watchers;
     net::HttpServer server;
 };
-}
+} // namespace figpulley::standin
--- a/src/standin/runlog.cpp
+++ b/src/standin/runlog.cpp
@@ -37,4 +37,4 @@
     const auto found = shard.records.find(work);
     return found == shard.records.end() ? WorkRecord {} : found->second;
 }
-}
+} // namespace figpulley::standin
--- a/src/standin/runlog.h
+++ b/src/standin/runlog.h
@@ -11,7 +11,8 @@
 namespace figpulley::standin
 {
 /// What upstreams did for one piece of work.
-struct WorkRecord {
+struct WorkRecord
+{
     std::uint32_t rootRuns = 0; ///< runs at the service that the client called
     std::uint32_t runs = 0; ///< runs at all services
     std::uint32_t received = 0; ///< requests that reached any upstream
@@ -29,7 +30,8 @@
     [[nodiscard]] WorkRecord find(std::uint64_t work) const;
 
 private:
-    struct Shard {
+    struct Shard
+    {
         mutable std::mutex mutex;
         std::unordered_map<std::uint64_t, WorkRecord> records;
     };
@@ -39,4 +41,4 @@
     static constexpr std::size_t shardCount = 32;
     std::array<Shard, shardCount> shards;
 };
-}
+} // namespace figpulley::standin
--- a/src/standin/upstreamserver.cpp
+++ b/src/standin/upstreamserver.cpp
@@ -30,7 +30,7 @@
     static const UpstreamRoute route;
     return route;
 }
-}
+} // namespace
 
 /// One request, from its arrival to its answer.
 class UpstreamServer::Job : public std::enable_shared_from_this<UpstreamServer::Job>
@@ -91,9 +91,9 @@
         const auto left = numberHeader(incoming, "Figpulley-Deadline-Ms");
         request.timeout = left > 0 ? core::Duration(std::chrono::milliseconds(left)) : defaultTimeout;
         request.mayResend = false;
-        this->transfer = this->server.client.fetch(request, largestNestedAnswer, [self = this->shared_from_this()](const net::ClientAnswer &answer) {
-            self->nestedEnded(answer);
-        });
+        this->transfer =
+            this->server.client.fetch(request, largestNestedAnswer,
+                                      [self = this->shared_from_this()](const net::ClientAnswer &answer) { self->nestedEnded(answer); });
     }
 
     void nestedEnded(const net::ClientAnswer &answer)
@@ -279,4 +279,4 @@
         exchange->answer({httpBadRequest, {}, std::string(error.what()) + "\n"});
     }
 }
-}
+} // namespace figpulley::standin
--- a/src/standin/upstreamserver.h
+++ b/src/standin/upstreamserver.h
@@ -14,14 +14,16 @@
 namespace figpulley::standin
 {
 /// A call that a stand-in upstream makes while it works on a request.
-struct NestedCall {
+struct NestedCall
+{
     std::string service;
     std::string method = "GET";
     std::string path = "/";
 };
 
 /// What a stand-in upstream does with requests of one path.
-struct UpstreamRoute {
+struct UpstreamRoute
+{
     std::string pathPrefix = "/";
     core::Duration serviceTime {}; ///< mean; spread evenly by a fifth to both sides
     std::size_t answerBytes = 0; ///< length of the answer's body, at least that of the work's number
@@ -29,7 +31,8 @@
 };
 
 /// How a stand-in upstream behaves.
-struct UpstreamOptions {
+struct UpstreamOptions
+{
     int slots = 10; ///< requests worked on at once
     int connections = 100; ///< requests held, working or waiting; more are shed with 503
     std::vector<UpstreamRoute> routes;
@@ -87,4 +90,4 @@
     net::HttpClient client;
     net::HttpServer server;
 };
-}
+} // namespace figpulley::standin
--- a/src/sync/applyprocess.cpp
+++ b/src/sync/applyprocess.cpp
@@ -23,7 +23,7 @@
     std::sort(parts.begin(), parts.end(), [](const PartReference &left, const PartReference &right) { return left.name < right.name; });
     return parts;
 }
-}
+} // namespace
 
 ApplyProcess::ApplyProcess(platform::ObjectStore &store, ApplyRequest request, Callback onDone)
     : store(store)
@@ -40,7 +40,8 @@
     for (const auto &file : process->request.files) {
         if (file.text.size() > platform::largestValue) {
             process->fail(ErrorKind::BodyTooLarge,
-                          fmt::format("{} has {} bytes; the platform holds {} at most: split it", file.name, file.text.size(), platform::largestValue));
+                          fmt::format("{} has {} bytes; the platform holds {} at most: split it", file.name, file.text.size(),
+                                      platform::largestValue));
             return;
         }
     }
@@ -86,7 +87,8 @@
         outcome.revision = present;
         outcome.difference = this->difference;
         outcome.isUnchanged = true;
-        outcome.message = isSame ? fmt::format("no difference to revision {}", present) : fmt::format("would change: {}", this->next.summary);
+        outcome.message =
+            isSame ? fmt::format("no difference to revision {}", present) : fmt::format("would change: {}", this->next.summary);
         this->onDone(outcome);
         return;
     }
@@ -123,29 +125,32 @@
         this->writeRoot();
         return;
     }
-    this->store.put(historyKey(this->previous->revision), this->previousText, {0}, [self = this->shared_from_this()](const StoreResult &result) {
-        const bool isThere = result.kind == ErrorKind::None || result.kind == ErrorKind::Conflict;
-        if (isThere) {
-            self->writesLeft = writeTries;
-            self->writeRoot();
-        } else if (--self->writesLeft > 0) {
-            self->archivePrevious();
-        } else {
-            self->fail(ErrorKind::PlatformUnavailable, "the platform does not take the audit entry; the configuration in force has not changed");
-        }
-    });
+    this->store.put(historyKey(this->previous->revision), this->previousText, {0},
+                    [self = this->shared_from_this()](const StoreResult &result) {
+                        const bool isThere = result.kind == ErrorKind::None || result.kind == ErrorKind::Conflict;
+                        if (isThere) {
+                            self->writesLeft = writeTries;
+                            self->writeRoot();
+                        } else if (--self->writesLeft > 0) {
+                            self->archivePrevious();
+                        } else {
+                            self->fail(ErrorKind::PlatformUnavailable,
+                                       "the platform does not take the audit entry; the configuration in force has not changed");
+                        }
+                    });
 }
 
 void ApplyProcess::writeRoot()
 {
-    this->store.put(std::string(rootKey), encode(this->next), {this->rootVersion}, [self = this->shared_from_this()](const StoreResult &result) {
-        if (result.kind == ErrorKind::None) {
-            self->succeed(false);
-            return;
-        }
-        // A conflict may be with this apply's own write, whose answer was lost.
-        self->readBack();
-    });
+    this->store.put(std::string(rootKey), encode(this->next), {this->rootVersion},
+                    [self = this->shared_from_this()](const StoreResult &result) {
+                        if (result.kind == ErrorKind::None) {
+                            self->succeed(false);
+                            return;
+                        }
+                        // A conflict may be with this apply's own write, whose answer was lost.
+                        self->readBack();
+                    });
 }
 
 void ApplyProcess::readBack()
@@ -162,7 +167,8 @@
             return;
         }
         this->fail(ErrorKind::PlatformOutcomeUnknown,
-                   fmt::format("the platform does not answer: revision {} may or may not be in force; apply again to find out", this->next.revision));
+                   fmt::format("the platform does not answer: revision {} may or may not be in force; apply again to find out",
+                               this->next.revision));
         return;
     }
     const auto present = result.kind == ErrorKind::None ? decodeManifest(result.object.value) : std::nullopt;
@@ -189,11 +195,8 @@
     outcome.revision = present ? present->revision : 0;
     const auto before = this->previous ? this->previous->parts : std::vector<PartReference>();
     const auto what = present ? differenceOf(before, present->parts).toString() : std::string("the configuration was removed");
-    outcome.message = present ? fmt::format("{} applied revision {} at {} meanwhile ({}); look at it and apply again",
-                                            present->appliedBy,
-                                            present->revision,
-                                            present->appliedAt,
-                                            what.empty() ? present->summary : what)
+    outcome.message = present ? fmt::format("{} applied revision {} at {} meanwhile ({}); look at it and apply again", present->appliedBy,
+                                            present->revision, present->appliedAt, what.empty() ? present->summary : what)
                               : what;
     this->onDone(outcome);
 }
@@ -213,10 +216,8 @@
     outcome.revision = this->next.revision;
     outcome.difference = this->difference;
     outcome.wasConfirmedByReading = wasConfirmedByReading;
-    outcome.message = fmt::format("revision {} is accepted: {}{}",
-                                  this->next.revision,
-                                  this->next.summary,
+    outcome.message = fmt::format("revision {} is accepted: {}{}", this->next.revision, this->next.summary,
                                   wasConfirmedByReading ? " (the answer was lost; confirmed by reading back)" : "");
     this->onDone(outcome);
 }
-}
+} // namespace figpulley::sync
--- a/src/sync/applyprocess.h
+++ b/src/sync/applyprocess.h
@@ -13,7 +13,8 @@
 namespace figpulley::sync
 {
 /// What an operator asks to be in force.
-struct ApplyRequest {
+struct ApplyRequest
+{
     std::vector<config::SourceFile> files; ///< valid, all of them
     std::string appliedBy;
     std::string appliedAt;
@@ -25,7 +26,8 @@
 };
 
 /// How an apply ended.
-struct ApplyResult {
+struct ApplyResult
+{
     core::ErrorKind kind = core::ErrorKind::None;
     std::uint64_t revision = 0; ///< in force after it
     std::string message; ///< for the operator
@@ -72,4 +74,4 @@
     int readsLeft = 0;
     int writesLeft = 0;
 };
-}
+} // namespace figpulley::sync
--- a/src/sync/configrelay.cpp
+++ b/src/sync/configrelay.cpp
@@ -19,9 +19,10 @@
 constexpr core::Duration firstBackoff = 200ms;
 constexpr core::Duration largestBackoff = 5s; // leaves room within the 13 s for a change that waits out an outage
 constexpr int largestDoubling = 6;
-}
+} // namespace
 
-ConfigRelay::ConfigRelay(platform::ObjectStore &store, Schedule schedule, const SnapshotStore &snapshots, Deliver deliver, std::uint64_t seed)
+ConfigRelay::ConfigRelay(platform::ObjectStore &store, Schedule schedule, const SnapshotStore &snapshots, Deliver deliver,
+                         std::uint64_t seed)
     : store(store)
     , schedule(std::move(schedule))
     , snapshots(snapshots)
@@ -92,7 +93,8 @@
     const auto own = this->snapshots.current().manifest.revision;
     this->olderRoot = manifest->revision < own ? manifest->revision : 0;
     if (this->olderRoot != 0) {
-        core::log(core::LogLevel::Error, "config.platform_older", {{"platform_revision", fmt::to_string(manifest->revision)}, {"revision", fmt::to_string(own)}});
+        core::log(core::LogLevel::Error, "config.platform_older",
+                  {{"platform_revision", fmt::to_string(manifest->revision)}, {"revision", fmt::to_string(own)}});
     }
     if (manifest->revision <= own) {
         this->knownVersion = result.object.version;
@@ -144,7 +146,8 @@
 {
     const auto bound = std::min(largestBackoff, firstBackoff * (1 << std::min(this->failures, largestDoubling)));
     ++this->failures;
-    const auto wait = bound / 2 + core::Duration(static_cast<std::int64_t>(core::uniform(this->random) * static_cast<double>(bound.count()) / 2));
+    const auto wait =
+        bound / 2 + core::Duration(static_cast<std::int64_t>(core::uniform(this->random) * static_cast<double>(bound.count()) / 2));
     this->schedule(wait, [weak = this->weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->watch();
@@ -161,4 +164,4 @@
         }
     });
 }
-}
+} // namespace figpulley::sync
--- a/src/sync/configrelay.h
+++ b/src/sync/configrelay.h
@@ -53,4 +53,4 @@
     std::uint64_t olderRoot = 0;
     int failures = 0;
 };
-}
+} // namespace figpulley::sync
--- a/src/sync/fwd.h
+++ b/src/sync/fwd.h
@@ -9,4 +9,4 @@
 struct FilePart;
 struct Manifest;
 struct Snapshot;
-}
+} // namespace figpulley::sync
--- a/src/sync/manifest.cpp
+++ b/src/sync/manifest.cpp
@@ -24,7 +24,7 @@
         text += fmt::format("{}{}{}", text.empty() ? "" : " ", mark, name);
     }
 }
-}
+} // namespace
 
 bool ManifestDifference::isEmpty() const noexcept
 {
@@ -62,12 +62,8 @@
     for (const auto &part : manifest.parts) {
         parts.push_back({{"name", part.name}, {"hash", part.hash}, {"size", part.size}});
     }
-    const json document {{"revision", manifest.revision},
-                         {"apply_id", manifest.applyId},
-                         {"applied_by", manifest.appliedBy},
-                         {"applied_at", manifest.appliedAt},
-                         {"note", manifest.note},
-                         {"summary", manifest.summary},
+    const json document {{"revision", manifest.revision},    {"apply_id", manifest.applyId}, {"applied_by", manifest.appliedBy},
+                         {"applied_at", manifest.appliedAt}, {"note", manifest.note},        {"summary", manifest.summary},
                          {"parts", std::move(parts)}};
     return document.dump(1);
 }
@@ -84,7 +80,8 @@
         manifest.note = document.at("note").get<std::string>();
         manifest.summary = document.at("summary").get<std::string>();
         for (const auto &part : document.at("parts")) {
-            manifest.parts.push_back({part.at("name").get<std::string>(), part.at("hash").get<std::string>(), part.at("size").get<std::uint64_t>()});
+            manifest.parts.push_back(
+                {part.at("name").get<std::string>(), part.at("hash").get<std::string>(), part.at("size").get<std::uint64_t>()});
         }
         return manifest;
     } catch (const json::exception &) {
@@ -110,4 +107,4 @@
     }
     return difference;
 }
-}
+} // namespace figpulley::sync
--- a/src/sync/manifest.h
+++ b/src/sync/manifest.h
@@ -9,7 +9,8 @@
 namespace figpulley::sync
 {
 /// Name and content hash of one file.
-struct PartReference {
+struct PartReference
+{
     std::string name;
     std::string hash;
     std::uint64_t size = 0; ///< bytes
@@ -18,7 +19,8 @@
 };
 
 /// The platform's root object: which files are in force together, and who applied them.
-struct Manifest {
+struct Manifest
+{
     std::uint64_t revision = 0;
     std::string applyId; ///< random; tells an operator's own write from another's
     std::string appliedBy;
@@ -31,7 +33,8 @@
 };
 
 /// Difference between two sets of files.
-struct ManifestDifference {
+struct ManifestDifference
+{
     std::vector<std::string> added;
     std::vector<std::string> changed;
     std::vector<std::string> removed;
@@ -60,4 +63,4 @@
 [[nodiscard]] std::optional<Manifest> decodeManifest(std::string_view text);
 
 [[nodiscard]] ManifestDifference differenceOf(const std::vector<PartReference> &before, const std::vector<PartReference> &after);
-}
+} // namespace figpulley::sync
--- a/src/sync/snapshot.cpp
+++ b/src/sync/snapshot.cpp
@@ -21,4 +21,4 @@
     }
     return hashes;
 }
-}
+} // namespace figpulley::sync
--- a/src/sync/snapshot.h
+++ b/src/sync/snapshot.h
@@ -10,7 +10,8 @@
 namespace figpulley::sync
 {
 /// A revision's manifest and the text of each of its files.
-struct Snapshot {
+struct Snapshot
+{
     Manifest manifest;
     std::map<std::string, std::string, std::less<>> texts; ///< by content hash
 
@@ -21,4 +22,4 @@
     /// Hashes of files whose text is missing.
     [[nodiscard]] std::vector<std::string> missing() const;
 };
-}
+} // namespace figpulley::sync
--- a/src/sync/snapshotstore.cpp
+++ b/src/sync/snapshotstore.cpp
@@ -17,7 +17,7 @@
         return std::none_of(parts.begin(), parts.end(), [&](const PartReference &part) { return part.hash == text.first; });
     });
 }
-}
+} // namespace
 
 bool SnapshotStore::offer(Snapshot newer)
 {
@@ -40,7 +40,8 @@
 
 std::string SnapshotStore::encodeDelta(std::uint64_t have) const
 {
-    const auto base = std::find_if(this->recent.begin(), this->recent.end(), [have](const Manifest &manifest) { return manifest.revision == have; });
+    const auto base =
+        std::find_if(this->recent.begin(), this->recent.end(), [have](const Manifest &manifest) { return manifest.revision == have; });
     const bool isFull = base == this->recent.end();
     const auto difference = differenceOf(isFull ? std::vector<PartReference>() : base->parts, this->snapshot.manifest.parts);
     auto head = this->snapshot.manifest;
@@ -49,12 +50,14 @@
     for (const auto &part : this->snapshot.manifest.parts) {
         const auto &added = difference.added;
         const auto &altered = difference.changed;
-        const bool isNew = std::find(added.begin(), added.end(), part.name) != added.end() || std::find(altered.begin(), altered.end(), part.name) != altered.end();
+        const bool isNew = std::find(added.begin(), added.end(), part.name) != added.end()
+            || std::find(altered.begin(), altered.end(), part.name) != altered.end();
         if (isNew) {
             changed.push_back({{"name", part.name}, {"text", this->snapshot.texts.at(part.hash)}});
         }
     }
-    const json document {{"base", isFull ? 0 : have}, {"head", encode(head)}, {"changed", std::move(changed)}, {"removed", difference.removed}};
+    const json document {
+        {"base", isFull ? 0 : have}, {"head", encode(head)}, {"changed", std::move(changed)}, {"removed", difference.removed}};
     return document.dump();
 }
 
@@ -96,4 +99,4 @@
         return std::nullopt;
     }
 }
-}
+} // namespace figpulley::sync
--- a/src/sync/snapshotstore.h
+++ b/src/sync/snapshotstore.h
@@ -35,4 +35,4 @@
     Snapshot snapshot;
     std::deque<Manifest> recent;
 };
-}
+} // namespace figpulley::sync
--- a/src/text/fwd.h
+++ b/src/text/fwd.h
@@ -9,4 +9,4 @@
 struct Position;
 struct Problem;
 class Value;
-}
+} // namespace figpulley::text
--- a/src/text/keyspec.h
+++ b/src/text/keyspec.h
@@ -22,7 +22,8 @@
 [[nodiscard]] std::string_view name(KeyType type) noexcept;
 
 /// One key of a file section: type, range, default and meaning. The reference pages are made from these.
-struct KeySpec {
+struct KeySpec
+{
     std::string_view key;
     KeyType type;
     std::string_view defaultText; ///< as JSON; empty if the key is required
@@ -37,9 +38,10 @@
 };
 
 /// A named group of keys, such as the limits of one service.
-struct SectionSpec {
+struct SectionSpec
+{
     std::string_view name;
     std::string_view doc;
     std::span<const KeySpec> keys;
 };
-}
+} // namespace figpulley::text
--- a/src/text/objectreader.cpp
+++ b/src/text/objectreader.cpp
@@ -13,14 +13,7 @@
 namespace
 {
 constexpr std::array<std::string_view, 8> keyTypeNames {
-    "boolean",
-    "integer",
-    "number",
-    "string",
-    "array of strings",
-    "array of objects",
-    "map",
-    "object",
+    "boolean", "integer", "number", "string", "array of strings", "array of objects", "map", "object",
 };
 
 bool hasType(const Value &value, KeyType type)
@@ -36,9 +29,11 @@
     case KeyType::String:
         return value.as<std::string>() != nullptr;
     case KeyType::Strings:
-        return array != nullptr && std::all_of(array->begin(), array->end(), [](const Value &item) { return item.as<std::string>() != nullptr; });
+        return array != nullptr
+            && std::all_of(array->begin(), array->end(), [](const Value &item) { return item.as<std::string>() != nullptr; });
     case KeyType::Objects:
-        return array != nullptr && std::all_of(array->begin(), array->end(), [](const Value &item) { return item.as<Object>() != nullptr; });
+        return array != nullptr
+            && std::all_of(array->begin(), array->end(), [](const Value &item) { return item.as<Object>() != nullptr; });
     case KeyType::Map:
     case KeyType::Object:
         return value.as<Object>() != nullptr;
@@ -79,7 +74,7 @@
     }
     return row.back();
 }
-}
+} // namespace
 
 std::string_view name(KeyType type) noexcept
 {
@@ -135,7 +130,8 @@
         return;
     }
     if (!hasType(member.value, spec->type)) {
-        this->addProblem(member.value.position(), fmt::format("\"{}\" must be of type {}, not {}", member.key, name(spec->type), member.value.typeName()));
+        this->addProblem(member.value.position(),
+                         fmt::format("\"{}\" must be of type {}, not {}", member.key, name(spec->type), member.value.typeName()));
         return;
     }
     this->checkRange(*spec, member);
@@ -148,7 +144,8 @@
         return;
     }
     const auto *what = member.value.as<double>() != nullptr ? "" : "the length of ";
-    this->addProblem(member.value.position(), fmt::format("{}\"{}\" is {}, must be {} to {}", what, member.key, size, spec.minimum, spec.maximum));
+    this->addProblem(member.value.position(),
+                     fmt::format("{}\"{}\" is {}, must be {} to {}", what, member.key, size, spec.minimum, spec.maximum));
 }
 
 const KeySpec *ObjectReader::specOf(std::string_view key) const noexcept
@@ -252,4 +249,4 @@
     }
     return result;
 }
-}
+} // namespace figpulley::text
--- a/src/text/objectreader.h
+++ b/src/text/objectreader.h
@@ -66,4 +66,4 @@
 /// @param candidates names that are known
 /// @returns the closest name, or an empty view if none is similar
 [[nodiscard]] std::string_view nearest(std::string_view word, const std::vector<std::string_view> &candidates);
-}
+} // namespace figpulley::text
--- a/src/text/parse.cpp
+++ b/src/text/parse.cpp
@@ -12,87 +12,125 @@
 
 namespace grammar
 {
-struct LineComment : pegtl::seq<pegtl::two<'/'>, pegtl::until<pegtl::eolf>> {
+struct LineComment : pegtl::seq<pegtl::two<'/'>, pegtl::until<pegtl::eolf>>
+{
 };
-struct BlockComment : pegtl::if_must<pegtl::string<'/', '*'>, pegtl::until<pegtl::string<'*', '/'>>> {
+struct BlockComment : pegtl::if_must<pegtl::string<'/', '*'>, pegtl::until<pegtl::string<'*', '/'>>>
+{
 };
-struct Space : pegtl::star<pegtl::sor<pegtl::one<' ', '\t', '\n', '\r'>, LineComment, BlockComment>> {
+struct Space : pegtl::star<pegtl::sor<pegtl::one<' ', '\t', '\n', '\r'>, LineComment, BlockComment>>
+{
 };
 
-struct Null : pegtl::keyword<'n', 'u', 'l', 'l'> {
+struct Null : pegtl::keyword<'n', 'u', 'l', 'l'>
+{
 };
-struct True : pegtl::keyword<'t', 'r', 'u', 'e'> {
+struct True : pegtl::keyword<'t', 'r', 'u', 'e'>
+{
 };
-struct False : pegtl::keyword<'f', 'a', 'l', 's', 'e'> {
+struct False : pegtl::keyword<'f', 'a', 'l', 's', 'e'>
+{
 };
-struct Digits : pegtl::plus<pegtl::digit> {
+struct Digits : pegtl::plus<pegtl::digit>
+{
 };
-struct Exponent : pegtl::seq<pegtl::one<'e', 'E'>, pegtl::opt<pegtl::one<'+', '-'>>, Digits> {
+struct Exponent : pegtl::seq<pegtl::one<'e', 'E'>, pegtl::opt<pegtl::one<'+', '-'>>, Digits>
+{
 };
-struct Fraction : pegtl::seq<pegtl::one<'.'>, Digits> {
+struct Fraction : pegtl::seq<pegtl::one<'.'>, Digits>
+{
 };
-struct Number : pegtl::seq<pegtl::opt<pegtl::one<'-'>>,
-                           pegtl::sor<pegtl::one<'0'>, pegtl::seq<pegtl::range<'1', '9'>, pegtl::star<pegtl::digit>>>,
-                           pegtl::opt<Fraction>,
-                           pegtl::opt<Exponent>,
-                           pegtl::not_at<pegtl::identifier_other>> {
+struct Number
+    : pegtl::seq<pegtl::opt<pegtl::one<'-'>>, pegtl::sor<pegtl::one<'0'>, pegtl::seq<pegtl::range<'1', '9'>, pegtl::star<pegtl::digit>>>,
+                 pegtl::opt<Fraction>, pegtl::opt<Exponent>, pegtl::not_at<pegtl::identifier_other>>
+{
 };
 
-struct Hex4 : pegtl::rep<4, pegtl::xdigit> {
+struct Hex4 : pegtl::rep<4, pegtl::xdigit>
+{
 };
-struct UnicodeEscape : pegtl::list<pegtl::seq<pegtl::one<'u'>, Hex4>, pegtl::one<'\\'>> {
+struct UnicodeEscape : pegtl::list<pegtl::seq<pegtl::one<'u'>, Hex4>, pegtl::one<'\\'>>
+{
 };
-struct SimpleEscape : pegtl::one<'"', '\\', '/', 'b', 'f', 'n', 'r', 't'> {
+struct SimpleEscape : pegtl::one<'"', '\\', '/', 'b', 'f', 'n', 'r', 't'>
+{
 };
-struct Escape : pegtl::if_must<pegtl::one<'\\'>, pegtl::sor<SimpleEscape, UnicodeEscape>> {
+struct Escape : pegtl::if_must<pegtl::one<'\\'>, pegtl::sor<SimpleEscape, UnicodeEscape>>
+{
 };
-struct Plain : pegtl::utf8::not_range<0, 0x1F> {
+struct Plain : pegtl::utf8::not_range<0, 0x1F>
+{
 };
-struct Character : pegtl::sor<Escape, pegtl::seq<pegtl::not_at<pegtl::one<'"'>>, Plain>> {
+struct Character : pegtl::sor<Escape, pegtl::seq<pegtl::not_at<pegtl::one<'"'>>, Plain>>
+{
 };
-struct StringEnd : pegtl::one<'"'> {
+struct StringEnd : pegtl::one<'"'>
+{
 };
-struct StringContent : pegtl::star<Character> {
+struct StringContent : pegtl::star<Character>
+{
 };
-struct StringBegin : pegtl::one<'"'> {
+struct StringBegin : pegtl::one<'"'>
+{
 };
-struct String : pegtl::if_must<StringBegin, StringContent, StringEnd> {
+struct String : pegtl::if_must<StringBegin, StringContent, StringEnd>
+{
 };
-struct Key : pegtl::if_must<StringBegin, StringContent, StringEnd> {
+struct Key : pegtl::if_must<StringBegin, StringContent, StringEnd>
+{
 };
 
 struct AnyValue;
-struct ArrayBegin : pegtl::one<'['> {
+struct ArrayBegin : pegtl::one<'['>
+{
 };
-struct ArrayEnd : pegtl::one<']'> {
+struct ArrayEnd : pegtl::one<']'>
+{
 };
-struct Comma : pegtl::one<','> {
+struct Comma : pegtl::one<','>
+{
 };
-struct ArrayItems : pegtl::opt<pegtl::list_tail<pegtl::seq<AnyValue, Space>, Comma, pegtl::sor<pegtl::one<' ', '\t', '\n', '\r'>, LineComment, BlockComment>>> {
+struct ArrayItems
+    : pegtl::opt<
+          pegtl::list_tail<pegtl::seq<AnyValue, Space>, Comma, pegtl::sor<pegtl::one<' ', '\t', '\n', '\r'>, LineComment, BlockComment>>>
+{
 };
-struct ArrayRule : pegtl::if_must<ArrayBegin, Space, ArrayItems, Space, ArrayEnd> {
+struct ArrayRule : pegtl::if_must<ArrayBegin, Space, ArrayItems, Space, ArrayEnd>
+{
 };
-struct Colon : pegtl::one<':'> {
+struct Colon : pegtl::one<':'>
+{
 };
-struct MemberValue : pegtl::must<AnyValue> {
+struct MemberValue : pegtl::sor<AnyValue>
+{
 };
-struct MemberRule : pegtl::if_must<Key, Space, Colon, Space, MemberValue, Space> {
+struct MemberRule : pegtl::if_must<Key, Space, Colon, Space, MemberValue, Space>
+{
 };
-struct ObjectBegin : pegtl::one<'{'> {
+struct ObjectBegin : pegtl::one<'{'>
+{
 };
-struct ObjectEnd : pegtl::one<'}'> {
+struct ObjectEnd : pegtl::one<'}'>
+{
 };
-struct ObjectMembers : pegtl::opt<pegtl::list_tail<MemberRule, Comma, pegtl::sor<pegtl::one<' ', '\t', '\n', '\r'>, LineComment, BlockComment>>> {
+struct ObjectMembers
+    : pegtl::opt<pegtl::list_tail<MemberRule, Comma, pegtl::sor<pegtl::one<' ', '\t', '\n', '\r'>, LineComment, BlockComment>>>
+{
 };
-struct ObjectRule : pegtl::if_must<ObjectBegin, Space, ObjectMembers, Space, ObjectEnd> {
+struct ObjectRule : pegtl::if_must<ObjectBegin, Space, ObjectMembers, Space, ObjectEnd>
+{
 };
-struct AnyValue : pegtl::sor<String, Number, ObjectRule, ArrayRule, Null, True, False> {
+struct AnyValue : pegtl::sor<String, Number, ObjectRule, ArrayRule, Null, True, False>
+{
 };
-struct Root : pegtl::must<AnyValue> {
+struct Root : pegtl::sor<AnyValue>
+{
 };
-struct End : pegtl::must<pegtl::eof> {
+struct End : pegtl::must<pegtl::eof>
+{
 };
-struct Text : pegtl::seq<Space, Root, Space, End> {
+struct Text : pegtl::seq<Space, Root, Space, End>
+{
 };
 
 template<class Rule>
@@ -120,23 +158,26 @@
 template<>
 inline constexpr auto expected<MemberValue> = "expected a value";
 template<>
-inline constexpr auto expected<AnyValue> = "expected a value";
+inline constexpr auto expected<Root> = "expected a value";
 template<>
 inline constexpr auto expected<pegtl::eof> = "unexpected text after the end of the document";
 
-struct Messages {
+// A rule with a message never fails quietly: its failure ends the parse.
+struct Messages
+{
     template<class Rule>
     static constexpr auto message = expected<Rule>;
 };
 
 template<class Rule>
 using Control = pegtl::must_if<Messages, pegtl::normal, false>::control<Rule>;
-}
+} // namespace grammar
 
 namespace
 {
 // An array or object that is still open while the parser runs.
-struct Frame {
+struct Frame
+{
     Position position;
     Array items;
     Object members;
@@ -145,7 +186,8 @@
     bool isObject = false;
 };
 
-struct Builder {
+struct Builder
+{
     std::string file;
     Problems &problems;
     std::vector<Frame> frames;
@@ -188,11 +230,13 @@
 }
 
 template<class Rule>
-struct Action : pegtl::nothing<Rule> {
+struct Action : pegtl::nothing<Rule>
+{
 };
 
 template<>
-struct Action<grammar::StringBegin> {
+struct Action<grammar::StringBegin>
+{
     template<class Input>
     static void apply(const Input &input, Builder &builder)
     {
@@ -201,15 +245,18 @@
     }
 };
 template<>
-struct Action<grammar::Plain> : pegtl::nothing<grammar::Plain> {
+struct Action<grammar::Plain> : pegtl::nothing<grammar::Plain>
+{
 };
 template<>
-struct Action<grammar::StringContent> {
+struct Action<grammar::StringContent>
+{
     template<class Input>
     static void apply(const Input &input, Builder &builder);
 };
 template<>
-struct Action<grammar::String> {
+struct Action<grammar::String>
+{
     template<class Input>
     static void apply(const Input & /*input*/, Builder &builder)
     {
@@ -217,7 +264,8 @@
     }
 };
 template<>
-struct Action<grammar::Key> {
+struct Action<grammar::Key>
+{
     template<class Input>
     static void apply(const Input & /*input*/, Builder &builder)
     {
@@ -225,7 +273,8 @@
     }
 };
 template<>
-struct Action<grammar::Number> {
+struct Action<grammar::Number>
+{
     template<class Input>
     static void apply(const Input &input, Builder &builder)
     {
@@ -238,7 +287,8 @@
     }
 };
 template<>
-struct Action<grammar::True> {
+struct Action<grammar::True>
+{
     template<class Input>
     static void apply(const Input &input, Builder &builder)
     {
@@ -246,7 +296,8 @@
     }
 };
 template<>
-struct Action<grammar::False> {
+struct Action<grammar::False>
+{
     template<class Input>
     static void apply(const Input &input, Builder &builder)
     {
@@ -254,7 +305,8 @@
     }
 };
 template<>
-struct Action<grammar::Null> {
+struct Action<grammar::Null>
+{
     template<class Input>
     static void apply(const Input &input, Builder &builder)
     {
@@ -274,7 +326,8 @@
     builder.frames.push_back(std::move(frame));
 }
 template<>
-struct Action<grammar::ArrayBegin> {
+struct Action<grammar::ArrayBegin>
+{
     template<class Input>
     static void apply(const Input &input, Builder &builder)
     {
@@ -282,7 +335,8 @@
     }
 };
 template<>
-struct Action<grammar::ObjectBegin> {
+struct Action<grammar::ObjectBegin>
+{
     template<class Input>
     static void apply(const Input &input, Builder &builder)
     {
@@ -290,7 +344,8 @@
     }
 };
 template<>
-struct Action<grammar::ArrayEnd> {
+struct Action<grammar::ArrayEnd>
+{
     template<class Input>
     static void apply(const Input & /*input*/, Builder &builder)
     {
@@ -300,7 +355,8 @@
     }
 };
 template<>
-struct Action<grammar::ObjectEnd> {
+struct Action<grammar::ObjectEnd>
+{
     template<class Input>
     static void apply(const Input & /*input*/, Builder &builder)
     {
@@ -379,7 +435,7 @@
         }
     }
 }
-}
+} // namespace
 
 std::optional<Value> parse(const std::string &file, std::string_view source, Problems &problems)
 {
@@ -398,4 +454,4 @@
     }
     return std::move(builder.root);
 }
-}
+} // namespace figpulley::text
--- a/src/text/parse.h
+++ b/src/text/parse.h
@@ -21,4 +21,4 @@
 ///
 /// Example: `auto root = parse("a.json", "{ \"a\": 1 } // note", problems);`
 [[nodiscard]] std::optional<Value> parse(const std::string &file, std::string_view source, Problems &problems);
-}
+} // namespace figpulley::text
--- a/src/text/problem.cpp
+++ b/src/text/problem.cpp
@@ -13,11 +13,7 @@
 
 std::string describe(const Problem &problem)
 {
-    return fmt::format("{}:{}:{}: {}: {}",
-                       problem.file,
-                       problem.position.line,
-                       problem.position.column,
-                       problem.isWarning ? "warning" : "error",
-                       problem.message);
-}
+    return fmt::format("{}:{}:{}: {}: {}", problem.file, problem.position.line, problem.position.column,
+                       problem.isWarning ? "warning" : "error", problem.message);
 }
+} // namespace figpulley::text
--- a/src/text/problem.h
+++ b/src/text/problem.h
@@ -8,7 +8,8 @@
 namespace figpulley::text
 {
 /// One reason why a file is refused, or one warning about it.
-struct Problem {
+struct Problem
+{
     std::string file;
     Position position;
     std::string message;
@@ -23,4 +24,4 @@
 
 /// Writes a problem as `file:line:column: error: message`.
 [[nodiscard]] std::string describe(const Problem &problem);
-}
+} // namespace figpulley::text
--- a/src/text/value.cpp
+++ b/src/text/value.cpp
@@ -8,7 +8,7 @@
 {
 constexpr std::array<std::string_view, 6> typeNames {"null", "true or false", "a number", "a string", "an array", "an object"};
 static_assert(typeNames.size() == std::variant_size_v<Value::Data>);
-}
+} // namespace
 
 Value::Value(Position position, Data data)
     : place(position)
@@ -39,4 +39,4 @@
 {
     return typeNames[this->data.index()];
 }
-}
+} // namespace figpulley::text
--- a/src/text/value.h
+++ b/src/text/value.h
@@ -48,9 +48,10 @@
 };
 
 /// A key and its value.
-struct Member {
+struct Member
+{
     std::string key;
     Position keyPosition;
     Value value;
 };
-}
+} // namespace figpulley::text
--- a/src/trust/keyring.cpp
+++ b/src/trust/keyring.cpp
@@ -17,13 +17,8 @@
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
     unsigned size = 0;
-    HMAC(EVP_sha256(),
-         secret.data(),
-         static_cast<int>(secret.size()),
-         reinterpret_cast<const unsigned char *>(text.data()),
-         text.size(),
-         digest.data(),
-         &size);
+    HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()), reinterpret_cast<const unsigned char *>(text.data()), text.size(),
+         digest.data(), &size);
     std::string tag;
     tag.reserve(2 * tagBytes);
     for (std::size_t at = 0; at < tagBytes; ++at) {
@@ -31,7 +26,7 @@
     }
     return tag;
 }
-}
+} // namespace
 
 void KeyRing::add(std::string id, std::string secret)
 {
@@ -66,4 +61,4 @@
     const auto given = signature.substr(colon + 1);
     return given.size() == expected.size() && CRYPTO_memcmp(given.data(), expected.data(), expected.size()) == 0;
 }
-}
+} // namespace figpulley::trust
--- a/src/trust/keyring.h
+++ b/src/trust/keyring.h
@@ -39,4 +39,4 @@
     std::map<std::string, std::string, std::less<>> keys;
     std::string active;
 };
-}
+} // namespace figpulley::trust
--- /dev/null
+++ b/tests/limit_test.cpp
@@ -0,0 +1,102 @@
+#include "support/boards.h"
+#include "support/story.h"
+
+#include "decide/limit/limitalgorithm.h"
+#include "decide/thresholdsearch.h"
+
+using namespace figpulley;
+
+namespace
+{
+// A fake upstream: latency grows in proportion once more calls run than it has slots.
+decide::LimitWindow windowAt(double limit, double slots, double serviceSeconds)
+{
+    decide::LimitWindow window;
+    window.concurrency = limit;
+    window.latency = serviceSeconds * std::max(1.0, limit / slots);
+    window.throughput = limit / window.latency;
+    window.saturation = 1;
+    window.completed = 100;
+    return window;
+}
+
+double settle(config::LimitAlgorithm algorithm, board::LimitState &state, double slots, double serviceSeconds, int windows)
+{
+    config::ServicePolicy policy;
+    policy.limitInitial = 20;
+    policy.limitMinimum = 2;
+    policy.limitMaximum = 1000;
+    if (state.limit == 0) {
+        state.limit = policy.limitInitial;
+    }
+    for (int count = 0; count < windows; ++count) {
+        const auto next = decide::limitAlgorithm(algorithm).next(state, windowAt(state.limit, slots, serviceSeconds), policy);
+        state.limit = std::clamp<double>(next, policy.limitMinimum, policy.limitMaximum);
+    }
+    return state.limit;
+}
+} // namespace
+
+Test(limit, probing)
+{
+    tests::Story story;
+    board::LimitState state;
+    story.section("an upstream with more slots than the initial limit", [&] {
+        const auto limit = settle(config::LimitAlgorithm::Probing, state, 50, 0.02, 100);
+        story.check(limit >= 50 && limit <= 75, "the limit finds its slots, got " + std::to_string(limit));
+    });
+    story.section("the upstream becomes four times slower", [&] {
+        const auto limit = settle(config::LimitAlgorithm::Probing, state, 50, 0.08, 100);
+        story.check(limit >= 47 && limit <= 75, "the limit stays, since its slots have not changed, got " + std::to_string(limit));
+    });
+    story.section("the upstream loses most of its slots", [&] {
+        const auto limit = settle(config::LimitAlgorithm::Probing, state, 10, 0.08, 100);
+        story.check(limit >= 9 && limit <= 20, "the limit follows, got " + std::to_string(limit));
+    });
+    story.section("the first windows are already overloaded", [&] {
+        board::LimitState late;
+        late.limit = 200;
+        const auto limit = settle(config::LimitAlgorithm::Probing, late, 30, 0.05, 150);
+        story.check(limit >= 28 && limit <= 50, "a constant overload does not hide the slots, got " + std::to_string(limit));
+    });
+}
+
+Test(limit, threshold)
+{
+    tests::Story story;
+    board::ThresholdCounts counts;
+    std::uint32_t descent = 0;
+    story.section("a hundred ranks arrive and twenty fit", [&] {
+        for (std::size_t bucket = 0; bucket < 100; ++bucket) {
+            counts.arrivals[bucket] = 1;
+        }
+        counts.started = 20;
+        counts.refused = 80;
+        core::Rank threshold;
+        for (int window = 0; window < 20; ++window) {
+            threshold = decide::nextThreshold(threshold, descent, counts, 0.05);
+        }
+        const auto admitted = 100 - static_cast<int>(threshold.value() / board::ranksPerBucket);
+        story.check(admitted >= 20 && admitted <= 24, "about twenty stay above, got " + std::to_string(admitted));
+        story.section("the surge ends", [&] {
+            decide::decay(counts);
+            int windows = 0;
+            while (threshold.value() > 0) {
+                threshold = decide::nextThreshold(threshold, descent, counts, 0.05);
+                ++windows;
+            }
+            story.check(windows * 50 < 2000, "it is forgotten within two seconds");
+        });
+    });
+    story.section("the highest threshold of all", [&] {
+        core::Rank threshold(core::Rank::end);
+        descent = 0;
+        int windows = 0;
+        decide::decay(counts);
+        while (threshold.value() > 0) {
+            threshold = decide::nextThreshold(threshold, descent, counts, 0.05);
+            ++windows;
+        }
+        story.check(windows * 50 < 2000, "it is forgotten within two seconds, too");
+    });
+}
--- /dev/null
+++ b/tests/support/fakestore.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "core/random.h"
+#include "standin/objecttable.h"
+#include "sync/manifest.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace figpulley::tests
+{
+/// A platform that answers at once, and fails as it is told.
+class FakeStore : public platform::ObjectStore
+{
+public:
+    void get(const std::string &key, Callback callback) override
+    {
+        ++this->calls;
+        if (this->isDown || this->drawsFailure()) {
+            callback({core::ErrorKind::PlatformUnavailable, {}});
+            return;
+        }
+        callback(this->table.get(key));
+    }
+
+    void put(const std::string &key, const std::string &value, platform::WriteCondition condition, Callback callback) override
+    {
+        ++this->calls;
+        const bool isRoot = key == sync::rootKey;
+        if (isRoot && this->beforeRootWrite) {
+            this->beforeRootWrite();
+        }
+        if (this->isDown || this->failAfterWrites == 0 || this->drawsFailure()) {
+            callback({core::ErrorKind::PlatformUnavailable, {}});
+            return;
+        }
+        this->failAfterWrites -= this->failAfterWrites > 0 ? 1 : 0;
+        const auto result = this->table.put(key, value, condition);
+        const bool isLost = (isRoot && this->loseRootAnswers > 0) || this->drawsFailure();
+        this->loseRootAnswers -= isRoot && this->loseRootAnswers > 0 ? 1 : 0;
+        callback(isLost ? platform::StoreResult {core::ErrorKind::PlatformOutcomeUnknown, {}} : result);
+    }
+
+    void watch(const std::string &key, std::uint64_t known, core::Duration /*timeout*/, Callback callback) override
+    {
+        ++this->calls;
+        const auto present = this->table.get(key);
+        if (this->isDown) {
+            callback({core::ErrorKind::PlatformUnavailable, {}});
+        } else if (present.object.version != known) {
+            callback(present);
+        } else {
+            this->watchers.push_back(std::move(callback));
+        }
+    }
+
+    void list(const std::string &prefix, ListCallback callback) override
+    {
+        callback(this->table.list(prefix));
+    }
+
+    /// Ends all watches, as their timeout would.
+    void wake()
+    {
+        const auto waiting = std::move(this->watchers);
+        this->watchers.clear();
+        for (const auto &callback : waiting) {
+            callback(this->isDown ? platform::StoreResult {core::ErrorKind::PlatformUnavailable, {}}
+                                  : this->table.get(std::string(sync::rootKey)));
+        }
+    }
+
+    /// Makes a share of all calls fail, before or after they took effect.
+    void failRandomly(std::uint32_t seed, int percent)
+    {
+        this->random.seed(seed);
+        this->failurePercent = percent;
+    }
+
+    standin::ObjectTable table;
+    std::function<void()> beforeRootWrite;
+    int loseRootAnswers = 0;
+    int failAfterWrites = -1;
+    bool isDown = false;
+    std::uint64_t calls = 0;
+
+private:
+    bool drawsFailure()
+    {
+        return this->failurePercent > 0 && static_cast<int>(this->random() % 100) < this->failurePercent;
+    }
+
+    std::vector<Callback> watchers;
+    core::Random random;
+    int failurePercent = 0;
+};
+
+/// Timers in virtual time.
+class FakeTimers
+{
+public:
+    void schedule(core::Duration delay, std::function<void()> callback)
+    {
+        this->pending.emplace(this->now + delay, std::move(callback));
+    }
+
+    void run(core::Duration length)
+    {
+        const auto end = this->now + length;
+        while (!this->pending.empty() && this->pending.begin()->first <= end) {
+            const auto next = this->pending.begin();
+            this->now = next->first;
+            const auto callback = std::move(next->second);
+            this->pending.erase(next);
+            callback();
+        }
+        this->now = end;
+    }
+
+private:
+    core::Duration now {};
+    std::multimap<core::Duration, std::function<void()>> pending;
+};
+} // namespace figpulley::tests
--- /dev/null
+++ b/tests/support/story.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+namespace figpulley::tests
+{
+/// Nested sections of a test, so that it reads as a story; a failure names the sections that lead to it.
+class Story
+{
+public:
+    /// Runs a section.
+    void section(const std::string &title, const std::function<void()> &body)
+    {
+        this->titles.push_back(title);
+        body();
+        this->titles.pop_back();
+    }
+
+    /// Checks a condition.
+    void check(bool condition, const std::string &expectation) const
+    {
+        cr_expect(condition, "%s: expected %s", this->path().c_str(), expectation.c_str());
+    }
+
+    /// Checks that two values are equal.
+    template<class Left, class Right>
+    void equal(const Left &actual, const Right &expected, const std::string &what) const
+    {
+        this->check(actual == expected, what);
+    }
+
+private:
+    [[nodiscard]] std::string path() const
+    {
+        std::string text;
+        for (const auto &title : this->titles) {
+            text += (text.empty() ? "" : " / ") + title;
+        }
+        return text;
+    }
+
+    std::vector<std::string> titles;
+};
+
+/// Runs a property with the seed that `make check` prints.
+template<class Property>
+void holds(const std::string &description, Property &&property)
+{
+    cr_expect(rc::check(description, std::forward<Property>(property)), "property failed: %s", description.c_str());
+}
+} // namespace figpulley::tests
