--- a/src/decide/ingresscontroller.cpp
+++ b/src/decide/ingresscontroller.cpp
@@ -10,7 +10,6 @@
 using core::CallOutcome;
 using core::EntryId;
 using core::ErrorKind;
-using core::Ran;
 using core::TimePoint;
 
 constexpr int httpServiceUnavailable = 503;
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -47,7 +47,7 @@
             : descriptor(descriptor)
         {
         }
-        ACE_HANDLE get_handle() const override
+        [[nodiscard]] ACE_HANDLE get_handle() const override
         {
             return this->descriptor;
         }
--- a/src/standin/upstreamserver.cpp
+++ b/src/standin/upstreamserver.cpp
@@ -170,7 +170,7 @@
     , random(this->options.seed)
     , started(core::steadyNow())
     , client(loop)
-    , server(loop, address, [this](std::shared_ptr<net::HttpExchange> exchange) { this->handle(std::move(exchange)); })
+    , server(loop, address, [this](const std::shared_ptr<net::HttpExchange> &exchange) { this->handle(exchange); })
 {
 }
 
@@ -223,7 +223,7 @@
     return core::Duration(static_cast<std::int64_t>(static_cast<double>(route.serviceTime.count()) * factor));
 }
 
-void UpstreamServer::handle(std::shared_ptr<net::HttpExchange> exchange)
+void UpstreamServer::handle(const std::shared_ptr<net::HttpExchange> &exchange)
 {
     const auto &request = exchange->request();
     if (request.path == "/health") {
--- a/src/standin/upstreamserver.h
+++ b/src/standin/upstreamserver.h
@@ -71,7 +71,7 @@
 private:
     class Job;
 
-    void handle(std::shared_ptr<net::HttpExchange> exchange);
+    void handle(const std::shared_ptr<net::HttpExchange> &exchange);
     void handleAdmin(const std::shared_ptr<net::HttpExchange> &exchange);
     void answerHealth(const std::shared_ptr<net::HttpExchange> &exchange) const;
     void startWaiting();
--- a/src/sync/applyprocess.cpp
+++ b/src/sync/applyprocess.cpp
@@ -17,6 +17,7 @@
 std::vector<PartReference> referencesOf(const std::vector<config::SourceFile> &files)
 {
     std::vector<PartReference> parts;
+    parts.reserve(files.size());
     for (const auto &file : files) {
         parts.push_back({file.name, contentHash(file.text), file.text.size()});
     }
