--- /dev/null
+++ b/src/alerts/samplestore.cpp
@@ -0,0 +1,64 @@
+#include "alerts/samplestore.h"
+
+#include <algorithm>
+
+namespace figpulley::alerts
+{
+SampleStore::SampleStore(Millis window, std::size_t largestSeries)
+    : window(window)
+    , largestSeries(largestSeries)
+{
+}
+
+void SampleStore::add(const Labels &labels, const Sample &sample)
+{
+    const auto found = this->series.find(labels);
+    const bool isFull = found == this->series.end() && this->series.size() >= this->largestSeries;
+    const bool isLate = found != this->series.end() && found->second.back().at >= sample.at;
+    if (isFull || isLate) {
+        ++this->droppedSamples;
+        return;
+    }
+    this->series[labels].push_back(sample);
+}
+
+void SampleStore::expire(Millis now)
+{
+    for (auto item = this->series.begin(); item != this->series.end();) {
+        auto &samples = item->second;
+        while (!samples.empty() && samples.front().at < now - this->window) {
+            samples.pop_front();
+        }
+        item = samples.empty() ? this->series.erase(item) : std::next(item);
+    }
+}
+
+std::vector<Series> SampleStore::select(const std::vector<Matcher> &matchers, Millis from, Millis to) const
+{
+    std::vector<Series> selected;
+    for (const auto &[labels, samples] : this->series) {
+        const bool isWanted =
+            std::all_of(matchers.begin(), matchers.end(), [&](const Matcher &matcher) { return matcher.matches(labels); });
+        if (!isWanted) {
+            continue;
+        }
+        const auto first =
+            std::lower_bound(samples.begin(), samples.end(), from, [](const Sample &sample, Millis at) { return sample.at < at; });
+        const auto last = std::upper_bound(first, samples.end(), to, [](Millis at, const Sample &sample) { return at < sample.at; });
+        if (first != last) {
+            selected.push_back({labels, {first, last}});
+        }
+    }
+    return selected;
+}
+
+std::size_t SampleStore::seriesCount() const noexcept
+{
+    return this->series.size();
+}
+
+std::size_t SampleStore::dropped() const noexcept
+{
+    return this->droppedSamples;
+}
+} // namespace figpulley::alerts
--- a/src/cli/commandline.cpp
+++ b/src/cli/commandline.cpp
@@ -18,6 +18,8 @@
     Command {"apply", "--platform IP:PORT FILE...", "put a set of files in force as a whole", &runApply},
     Command {"status", "--node IP:PORT...", "show what is in force and how the services are", &runStatus},
     Command {"history", "--platform IP:PORT", "show the audit trail of changes", &runHistory},
+    Command {"test-alerts", "FILE...", "run unit tests of alert rules", &runTestAlerts},
+    Command {"capacity", "", "measure what a node's control costs, for docs/CAPACITY.md", &runCapacity},
     Command {"bench", "--deployment NAME --scenario NAME", "run an experiment on real nodes and stand-ins", &runBench},
     Command {"demo", "", "show an overload with and without control, in one process", &runDemo},
     Command {"standin", "platform|upstream", "run a stand-in for the platform or for an upstream", &runStandin},
@@ -63,7 +65,7 @@
     }
     fmt::print("figpulley keeps service call graphs working under overload.\n\nusage: figpulley COMMAND [OPTIONS]\n\n");
     for (const auto &command : commandTable) {
-        fmt::print("  {:<10} {}\n", command.name, command.summary);
+        fmt::print("  {:<12} {}\n", command.name, command.summary);
     }
     fmt::print("\n  --version  print the version\n\n`figpulley help COMMAND` tells a command's options.\n"
                "Exit codes: 0 done, 1 failed or invalid, 2 wrong usage.\n");
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -10,6 +10,8 @@
 int runApply(const std::vector<std::string> &arguments);
 int runStatus(const std::vector<std::string> &arguments);
 int runHistory(const std::vector<std::string> &arguments);
+int runTestAlerts(const std::vector<std::string> &arguments);
+int runCapacity(const std::vector<std::string> &arguments);
 int runBench(const std::vector<std::string> &arguments);
 int runDemo(const std::vector<std::string> &arguments);
 int runStandin(const std::vector<std::string> &arguments);
--- a/src/cli/reference.cpp
+++ b/src/cli/reference.cpp
@@ -1,5 +1,6 @@
 #include "cli/reference.h"
 
+#include "alerts/rulefile.h"
 #include "config/overloadpolicy.h"
 #include "config/requestpriorities.h"
 #include "core/errorkind.h"
@@ -48,6 +49,11 @@
     page += sectionTable(config::servicePolicySection());
     page += sectionTable(config::requestPrioritiesSection());
     page += sectionTable(config::routeSection());
+    page += sectionTable(alerts::alertRulesSection());
+    page += sectionTable(alerts::ruleGroupSection());
+    page += sectionTable(alerts::alertRuleSection());
+    page += sectionTable(alerts::metricMappingSection());
+    page += sectionTable(alerts::mappedMetricSection());
     page += "## Error kinds\n\nThe header `Figpulley-Kind` of an answer that figpulley itself makes.\n\n"
             "| kind | HTTP status | ran | another try | meaning |\n| --- | --- | --- | --- | --- |\n";
     for (const auto &row : core::errorTable()) {
--- a/src/members/swim.cpp
+++ b/src/members/swim.cpp
@@ -610,7 +610,8 @@
 {
     OutgoingList out;
     const auto &state = board.membership.read();
-    if (!state.hasJoined && now >= state.nextJoin) {
+    const bool isAlone = state.members.empty();
+    if ((!state.hasJoined || isAlone) && now >= state.nextJoin) {
         this->join(board, now, random, out);
     }
     this->checkProbes(board, now, random, out);
--- a/src/node/controlface.cpp
+++ b/src/node/controlface.cpp
@@ -23,7 +23,9 @@
 
 constexpr core::Duration tickInterval = 50ms;
 constexpr core::Duration upstreamPoll = 500ms;
-constexpr core::Duration contactsInterval = 20s;
+constexpr core::Duration contactsInterval = 60s;
+constexpr core::Duration joinContactsInterval = 2s;
+constexpr std::size_t bridgesPerZone = 3;
 constexpr core::Duration platformTimeout = 3s;
 constexpr core::Duration fetchTimeout = 2s;
 constexpr std::size_t largestConfig = 64UL << 20U;
@@ -88,6 +90,7 @@
     for (const auto timer : this->timers) {
         this->context.loop.cancel(timer);
     }
+    this->context.loop.cancel(this->contactsTimer);
 }
 
 net::Address ControlFace::address() const
@@ -112,7 +115,7 @@
             *this->store, [&loop](core::Duration delay, std::function<void()> callback) { loop.after(delay, std::move(callback)); },
             this->snapshots, [this](sync::Snapshot snapshot) { this->takeSnapshot(std::move(snapshot)); }, this->context.random());
         this->refreshContacts();
-        this->timers.push_back(loop.every(contactsInterval, [this] { this->refreshContacts(); }));
+        this->scheduleContacts();
     }
     this->timers.push_back(loop.every(tickInterval, [this] { this->tick(); }));
     if (this->context.settings.upstream) {
@@ -253,6 +256,23 @@
     });
 }
 
+// At the design size, 17,000 nodes that read all zones' lists every 20 s would make 23,000 calls a second. So a node reads
+// them until it has joined, and afterwards only while it is a bridge of its zone.
+void ControlFace::scheduleContacts()
+{
+    const auto &state = this->context.board.membership.read();
+    const bool isAlone = state.members.empty();
+    const auto base = isAlone ? joinContactsInterval : contactsInterval;
+    const auto jitter = core::Duration(static_cast<std::int64_t>(core::uniform(this->context.random) * static_cast<double>(base.count())));
+    this->contactsTimer = this->context.loop.after(base / 2 + jitter, [this] {
+        const bool isStillAlone = this->context.board.membership.read().members.empty();
+        if (isStillAlone || this->swim.holdsRole(this->context.board, "bridge", bridgesPerZone)) {
+            this->refreshContacts();
+        }
+        this->scheduleContacts();
+    });
+}
+
 void ControlFace::refreshContacts()
 {
     this->store->list(contactPrefix, [this](const platform::ListResult &result) {
@@ -270,7 +290,7 @@
 // One node of the zone writes for all, and only when the list in the platform has become poor.
 void ControlFace::publishContacts()
 {
-    if (!this->swim.holdsRole(this->context.board, "contacts", 1)) {
+    if (!this->swim.holdsRole(this->context.board, "bridge", 1)) {
         return;
     }
     const auto key = contactKey(this->context.settings.availabilityZone);
--- a/src/node/controlface.h
+++ b/src/node/controlface.h
@@ -55,6 +55,7 @@
     void fetchConfig();
     void takeSnapshot(sync::Snapshot snapshot);
     void pollUpstream();
+    void scheduleContacts();
     void refreshContacts();
     void publishContacts();
     void handle(const std::shared_ptr<net::HttpExchange> &exchange);
@@ -75,9 +76,9 @@
     std::uint64_t wantedRevision = 0;
     std::string wantedFrom; ///< control address of a peer that has it
     bool isFetching = false;
-    bool isPublishing = false;
     std::string configProblem; ///< why the newest revision could not be compiled
     ControlTraffic counted;
     std::vector<net::EventLoop::TimerId> timers;
+    net::EventLoop::TimerId contactsTimer = net::EventLoop::noTimer;
 };
 } // namespace figpulley::node
