--- a/src/bench/experiment.cpp
+++ b/src/bench/experiment.cpp
@@ -105,8 +105,11 @@
     }
     Testbed testbed(*deployment, options);
     testbed.settle();
-    const auto probe =
-        probeLatency(testbed.entrances(), testbed.upstreamOf(deployment->services.front().name), deployment->services.front().name);
+    // Latency is probed on an idle testbed, and once is enough.
+    LatencyProbe probe;
+    if (options.scenario == Scenario::Steady) {
+        probe = probeLatency(testbed.entrances(), testbed.upstreamOf(deployment->services.front().name), deployment->services.front().name);
+    }
 
     const auto begin = options.steadySeconds;
     const auto end = begin + options.disturbedSeconds;
--- a/src/cli/runstandin.cpp
+++ b/src/cli/runstandin.cpp
@@ -53,6 +53,7 @@
     upstream.slots = parsed["slots"].as<int>();
     upstream.connections = parsed["connections"].as<int>();
     upstream.coldStart = std::chrono::milliseconds(parsed["cold-start-ms"].as<int>());
+    upstream.loadLag = std::chrono::milliseconds(parsed["load-lag-ms"].as<int>());
     upstream.isLoadMisleading = parsed.count("lie") > 0;
     standin::UpstreamRoute route;
     route.serviceTime = std::chrono::milliseconds(parsed["service-ms"].as<int>());
@@ -92,6 +93,7 @@
     options.add_options()("cold-start-ms", "upstream: time until it is warm", cxxopts::value<int>()->default_value("0"));
     options.add_options()("nested", "upstream: SERVICE:METHOD:PATH called for each request", cxxopts::value<std::vector<std::string>>());
     options.add_options()("nested-face", "upstream: ip:port of its node's nested face", cxxopts::value<std::string>()->default_value(""));
+    options.add_options()("load-lag-ms", "upstream: age that the load report may reach", cxxopts::value<int>()->default_value("0"));
     options.add_options()("lie", "upstream: report that it is idle");
     const auto parsed = parseOptions(options, arguments);
     if (parsed.count("help") > 0) {
--- a/src/config/overloadpolicy.cpp
+++ b/src/config/overloadpolicy.cpp
@@ -29,7 +29,7 @@
     KeySpec {"limit_minimum", KeyType::Integer, "2", 1, 100000, "smallest concurrency limit, in calls"},
     KeySpec {"limit_maximum", KeyType::Integer, "1000", 1, 100000, "largest concurrency limit, in calls"},
     KeySpec {"queue_length", KeyType::Integer, "100", 0, 100000, "calls that may wait at one endpoint"},
-    KeySpec {"queue_ms", KeyType::Integer, "100", 0, 60000, "longest wait in the queue, in milliseconds"},
+    KeySpec {"queue_ms", KeyType::Integer, "100", 0, 60000, "longest wait of the lowest level, in milliseconds; the highest waits up to half of its time"},
     KeySpec {"cold_start_ms", KeyType::Integer, "2000", 0, 600000, "time until a new endpoint takes its full share, in milliseconds"},
     KeySpec {"drain_ms", KeyType::Integer, "30000", 0, 3600000, "longest graceful shutdown, in milliseconds"},
     KeySpec {"retry_rate", KeyType::Number, "10", 0, 100000, "retries per second and caller node towards the service"},
--- a/src/decide/admissioncontroller.cpp
+++ b/src/decide/admissioncontroller.cpp
@@ -40,17 +40,35 @@
     }
 }
 
-ErrorKind expiryOf(const board::QueuedCall &call, const config::ServicePolicy &policy, TimePoint now)
+// The lowest level waits as long as the policy says, since refusing it early costs least. A higher level waits longer, the
+// highest up to half of its time: nothing that came later could use the slot better.
+Duration longestWait(const board::QueuedCall &call, const QueueRules &rules)
 {
-    if (now >= call.deadline) {
+    const auto halfOfItsTime = (call.deadline - call.arrived) / 2;
+    if (rules.levels < 2 || halfOfItsTime <= rules.queueDelay) {
+        return rules.queueDelay;
+    }
+    const auto highest = rules.levels - 1;
+    return rules.queueDelay + (halfOfItsTime - rules.queueDelay) * std::min(call.rank.level(), highest) / highest;
+}
+
+ErrorKind expiryOf(const board::QueuedCall &call, const QueueRules &rules)
+{
+    if (rules.now >= call.deadline) {
         return ErrorKind::DeadlineExpired;
     }
-    if (now - call.arrived >= policy.queueDelay) {
+    if (rules.now - call.arrived >= longestWait(call, rules)) {
         return ErrorKind::QueueTimeout;
     }
     return ErrorKind::None;
 }
 
+QueueRules rulesOf(const board::Blackboard &board, TimePoint now)
+{
+    const auto levels = std::max<std::size_t>(1, board.config.read().current->priorities.levels.size());
+    return {ownPolicy(board).queueDelay, static_cast<std::uint32_t>(levels), now};
+}
+
 void noteRefusal(AdmissionState &state)
 {
     ++state.counts.refused;
@@ -118,12 +136,11 @@
     return result;
 }
 
-void AdmissionController::popRunnable(AdmissionState &state, const config::ServicePolicy &policy, TimePoint now,
-                                      std::vector<QueueRelease> &released) const
+void AdmissionController::popRunnable(AdmissionState &state, const QueueRules &rules, std::vector<QueueRelease> &released) const
 {
     while (!state.queue.empty() && state.running < limitOf(state)) {
         const auto first = state.queue.begin();
-        const auto refusal = expiryOf(first->second, policy, now);
+        const auto refusal = expiryOf(first->second, rules);
         released.push_back({first->second.entry, refusal});
         state.queue.erase(first);
         if (refusal == ErrorKind::None) {
@@ -147,7 +164,7 @@
         ++state.window.overloadAnswers;
     }
     std::vector<QueueRelease> released;
-    this->popRunnable(state, ownPolicy(board), now, released);
+    this->popRunnable(state, rulesOf(board, now), released);
     return released;
 }
 
@@ -163,11 +180,10 @@
     return false;
 }
 
-void AdmissionController::dropExpired(AdmissionState &state, const config::ServicePolicy &policy, TimePoint now,
-                                      std::vector<QueueRelease> &released) const
+void AdmissionController::dropExpired(AdmissionState &state, const QueueRules &rules, std::vector<QueueRelease> &released) const
 {
     for (auto at = state.queue.begin(); at != state.queue.end();) {
-        const auto refusal = expiryOf(at->second, policy, now);
+        const auto refusal = expiryOf(at->second, rules);
         if (refusal == ErrorKind::None) {
             ++at;
             continue;
@@ -228,10 +244,11 @@
     startLimit(state, policy);
     this->account(state, now);
     std::vector<QueueRelease> released;
-    this->dropExpired(state, policy, now, released);
+    const auto rules = rulesOf(board, now);
+    this->dropExpired(state, rules, released);
     this->closeLimitWindow(state, policy, now);
     this->closeThresholdWindow(state, now);
-    this->popRunnable(state, policy, now, released);
+    this->popRunnable(state, rules, released);
     return released;
 }
 } // namespace figpulley::decide
--- a/src/decide/admissioncontroller.h
+++ b/src/decide/admissioncontroller.h
@@ -37,6 +37,14 @@
     bool isOverloadAnswer = false; ///< the upstream said that it sheds load
 };
 
+/// By what a waiting call is judged.
+struct QueueRules
+{
+    core::Duration queueDelay {}; ///< longest wait of the lowest level
+    std::uint32_t levels = 1; ///< of the priorities in force
+    core::TimePoint now {};
+};
+
 /// Admits calls at the ingress: an adaptive concurrency limit, a queue ordered by rank, and the threshold published to callers.
 class AdmissionController
 {
@@ -57,10 +65,8 @@
 
 private:
     void account(board::AdmissionState &state, core::TimePoint now) const;
-    void popRunnable(board::AdmissionState &state, const config::ServicePolicy &policy, core::TimePoint now,
-                     std::vector<QueueRelease> &released) const;
-    void dropExpired(board::AdmissionState &state, const config::ServicePolicy &policy, core::TimePoint now,
-                     std::vector<QueueRelease> &released) const;
+    void popRunnable(board::AdmissionState &state, const QueueRules &rules, std::vector<QueueRelease> &released) const;
+    void dropExpired(board::AdmissionState &state, const QueueRules &rules, std::vector<QueueRelease> &released) const;
     void closeLimitWindow(board::AdmissionState &state, const config::ServicePolicy &policy, core::TimePoint now) const;
     void closeThresholdWindow(board::AdmissionState &state, core::TimePoint now) const;
 };
--- a/src/decide/ingresscontroller.cpp
+++ b/src/decide/ingresscontroller.cpp
@@ -101,6 +101,14 @@
     return this->toActions(board, released);
 }
 
+CallOutcome IngressController::beginAnswer(Blackboard &board, EntryId entry) const
+{
+    CallOutcome outcome;
+    outcome.threshold = board.admission.read().threshold;
+    outcome.retriesSpent = this->ledger.freeze(board, entry);
+    return outcome;
+}
+
 CallOutcome IngressController::refuse(Blackboard &board, EntryId entry, ErrorKind kind) const
 {
     CallOutcome outcome;
--- a/src/decide/ingresscontroller.h
+++ b/src/decide/ingresscontroller.h
@@ -47,6 +47,9 @@
     [[nodiscard]] std::vector<IngressAction> finish(board::Blackboard &board, core::EntryId entry, const UpstreamResult &result,
                                                     core::TimePoint now, core::CallOutcome &outcome) const;
 
+    /// A large answer of a call begins to pass before the call has ended; builds the report for the caller.
+    [[nodiscard]] core::CallOutcome beginAnswer(board::Blackboard &board, core::EntryId entry) const;
+
     /// A call ended without having run; builds the report for the caller.
     [[nodiscard]] core::CallOutcome refuse(board::Blackboard &board, core::EntryId entry, core::ErrorKind kind) const;
 
--- a/src/decide/ledger.cpp
+++ b/src/decide/ledger.cpp
@@ -92,8 +92,21 @@
     return amount;
 }
 
+int Ledger::freeze(board::Blackboard &board, EntryId id) const
+{
+    auto *entry = this->findMutable(board, id);
+    if (entry == nullptr) {
+        return 0;
+    }
+    const auto spent = entry->envelope.retryBudget - entry->budgetLeft;
+    entry->envelope.retryBudget = spent;
+    entry->budgetLeft = 0;
+    return spent;
+}
+
 void Ledger::giveBack(board::Blackboard &board, EntryId id, int unspent) const
 {
+    // After freeze() this is still exact: loans that were out then have been reported as spent.
     if (auto *entry = this->findMutable(board, id)) {
         entry->budgetLeft += unspent;
     }
--- a/src/decide/ledger.h
+++ b/src/decide/ledger.h
@@ -39,6 +39,10 @@
     /// Lends part of the budget to a nested call: half, rounded up, so that a parallel one finds some too.
     [[nodiscard]] int lend(board::Blackboard &board, core::EntryId id) const;
 
+    /// Takes away what is left of an entry's budget, because its answer has begun and can report no more.
+    /// @returns the retries spent so far
+    [[nodiscard]] int freeze(board::Blackboard &board, core::EntryId id) const;
+
     /// Returns what a nested call did not spend.
     void giveBack(board::Blackboard &board, core::EntryId id, int unspent) const;
 
--- a/src/node/ingressface.cpp
+++ b/src/node/ingressface.cpp
@@ -88,12 +88,9 @@
     }
 
 private:
-    // A large answer has begun. What nested calls may still spend is not known, so all that was lent counts as spent.
     bool commit()
     {
-        CallOutcome outcome;
-        outcome.retriesSpent = this->envelope.retryBudget;
-        outcome.threshold = this->face.context.board.admission.read().threshold;
+        const auto outcome = this->face.controller.beginAnswer(this->face.context.board, this->id);
         this->relay->passStream(outcomeHeaders(outcome));
         return true;
     }
--- a/src/standin/upstreamserver.cpp
+++ b/src/standin/upstreamserver.cpp
@@ -172,9 +172,15 @@
     , client(loop)
     , server(loop, address, [this](const std::shared_ptr<net::HttpExchange> &exchange) { this->handle(exchange); })
 {
+    if (this->options.loadLag.count() > 0) {
+        this->loadTimer = this->loop.every(this->options.loadLag, [this] { this->laggingLoad = this->inFlight(); });
+    }
 }
 
-UpstreamServer::~UpstreamServer() = default;
+UpstreamServer::~UpstreamServer()
+{
+    this->loop.cancel(this->loadTimer);
+}
 
 net::Address UpstreamServer::address() const
 {
@@ -262,9 +268,9 @@
 
 void UpstreamServer::answerHealth(const std::shared_ptr<net::HttpExchange> &exchange) const
 {
-    const nlohmann::json health {{"draining", this->isDraining},
-                                 {"in_flight", this->options.isLoadMisleading ? 0 : this->inFlight()},
-                                 {"slots", this->options.slots}};
+    const auto load = this->options.loadLag.count() > 0 ? this->laggingLoad : this->inFlight();
+    const nlohmann::json health {
+        {"draining", this->isDraining}, {"in_flight", this->options.isLoadMisleading ? 0 : load}, {"slots", this->options.slots}};
     exchange->answer({200, {{"Content-Type", "application/json"}}, health.dump()});
 }
 
--- a/src/standin/upstreamserver.h
+++ b/src/standin/upstreamserver.h
@@ -39,6 +39,7 @@
     net::Address nestedFace; ///< where nested calls are sent
     int nestedAttempts = 1; ///< of each nested call, for the baseline with retries at each hop
     core::Duration coldStart {}; ///< time in which service times fall from three times their value
+    core::Duration loadLag {}; ///< age that the load report may reach; 0 reports the present load
     bool isLoadMisleading = false; ///< the load report always says idle
     std::uint64_t seed = 1;
 };
@@ -86,6 +87,8 @@
     double slowness = 1;
     bool isDraining = false;
     int running = 0;
+    int laggingLoad = 0; ///< requests held when the load report was last renewed
+    net::EventLoop::TimerId loadTimer = net::EventLoop::noTimer;
     std::deque<std::shared_ptr<Job>> waiting;
     net::HttpClient client;
     net::HttpServer server;
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -197,9 +197,13 @@
         story.equal(actions.front().entry, core::EntryId {6}, "the commission");
     });
     story.section("what waits too long is refused as not run", [&] {
+        static_cast<void>(offer(7, 5000));
         const auto actions = ingress.tick(*board, at(150));
+        story.equal(actions.size(), 1U, "one call, since the highest level waits up to half of its time");
+        story.equal(actions.front().entry, core::EntryId {4}, "the lookup");
         story.equal(actions.front().refusal, ErrorKind::QueueTimeout, "the queue's time is over");
         story.equal(core::answerFor(actions.front().refusal).ran, Ran::No, "not run");
+        story.equal(ingress.tick(*board, at(501)).front().entry, core::EntryId {7}, "the commission after half of its second");
     });
 }
 
