Lint findings of the alerts and capacity code

Cause: clang-tidy found six (implicit widening, copies, a structured binding captured by a lambda that clang refuses).

--- a/src/alerts/evaluator.h
+++ b/src/alerts/evaluator.h
@@ -29,7 +29,7 @@
 };
 
 /// How far back an instant selector looks for a sample.
-inline constexpr Millis defaultLookback = 5 * 60 * millisPerSecond;
+inline constexpr Millis defaultLookback = Millis {5} * 60 * millisPerSecond;
 
 /// Evaluates expressions by the published semantics of the rule language.
 class Evaluator
--- a/src/alerts/labels.cpp
+++ b/src/alerts/labels.cpp
@@ -76,7 +76,7 @@
     std::string inner;
     for (const auto &[name, value] : this->values) {
         if (name != nameLabel) {
-            inner += (inner.empty() ? "" : ", ") + name + "=\"" + value + "\"";
+            inner.append(inner.empty() ? "" : ", ").append(name).append("=\"").append(value).append("\"");
         }
     }
     return inner.empty() && !text.empty() ? text : text + "{" + inner + "}";
--- a/src/alerts/metricmapping.cpp
+++ b/src/alerts/metricmapping.cpp
@@ -35,7 +35,7 @@
 {
     auto result = labels;
     for (const auto &[oldLabel, ownLabel] : metric.ownLabels) {
-        const auto value = labels.get(ownLabel);
+        const auto &value = labels.get(ownLabel);
         result.remove(ownLabel);
         result.set(oldLabel, value);
     }
--- a/src/alerts/samplestore.cpp
+++ b/src/alerts/samplestore.cpp
@@ -36,7 +36,9 @@
 std::vector<Series> SampleStore::select(const std::vector<Matcher> &matchers, Millis from, Millis to) const
 {
     std::vector<Series> selected;
-    for (const auto &[labels, samples] : this->series) {
+    for (const auto &item : this->series) {
+        const auto &labels = item.first;
+        const auto &samples = item.second;
         const bool isWanted =
             std::all_of(matchers.begin(), matchers.end(), [&](const Matcher &matcher) { return matcher.matches(labels); });
         if (!isWanted) {
--- a/src/bench/capacity.cpp
+++ b/src/bench/capacity.cpp
@@ -164,7 +164,7 @@
         if (due >= 1) {
             due -= 1;
             const auto number = static_cast<int>(core::index(zone.random, zone.addresses.size()));
-            zone.start(number, static_cast<std::uint64_t>(1000 + count));
+            zone.start(number, 1000 + static_cast<std::uint64_t>(count));
         }
         zone.runStep();
     }
@@ -347,13 +347,13 @@
 double measureRule(int series)
 {
     constexpr int evaluations = 20;
-    constexpr alerts::Millis minute = 60 * alerts::millisPerSecond;
+    constexpr alerts::Millis minute = alerts::Millis {60} * alerts::millisPerSecond;
     alerts::SampleStore store(60 * minute);
     for (int number = 0; number < series; ++number) {
         for (int sample = 0; sample < 20; ++sample) {
             store.add(
                 {{"__name__", "figpulley_calls_total"}, {"service", fmt::format("s{}", number % 50)}, {"node", fmt::to_string(number)}},
-                {sample * 15 * alerts::millisPerSecond, static_cast<double>(sample * 10), false});
+                {alerts::Millis {sample} * 15 * alerts::millisPerSecond, static_cast<double>(sample * 10), false});
         }
     }
     const auto expression = alerts::parseExpression("sum by (service) (rate(figpulley_calls_total[5m])) > 1000");
