--- a/src/bench/experimentoptions.cpp
+++ b/src/bench/experimentoptions.cpp
@@ -1,5 +1,7 @@
 #include "bench/experimentoptions.h"
 
+#include "core/nametable.h"
+
 #include <array>
 
 namespace figpulley::bench
@@ -10,17 +12,6 @@
 constexpr std::array<std::string_view, 4> modeNames {"full", "none", "per-hop-retries", "static-limit"};
 static_assert(scenarioNames.size() == static_cast<std::size_t>(Scenario::LyingLoad) + 1);
 static_assert(modeNames.size() == static_cast<std::size_t>(ControlMode::StaticLimit) + 1);
-
-template<class Enum, std::size_t Size>
-std::optional<Enum> fromName(const std::array<std::string_view, Size> &names, std::string_view name) noexcept
-{
-    for (std::size_t index = 0; index < Size; ++index) {
-        if (names[index] == name) {
-            return static_cast<Enum>(index);
-        }
-    }
-    return std::nullopt;
-}
 } // namespace
 
 std::string_view name(Scenario scenario) noexcept
@@ -35,11 +26,11 @@
 
 std::optional<Scenario> scenarioFromName(std::string_view name) noexcept
 {
-    return fromName<Scenario>(scenarioNames, name);
+    return core::enumFromName<Scenario>(scenarioNames, name);
 }
 
 std::optional<ControlMode> controlModeFromName(std::string_view name) noexcept
 {
-    return fromName<ControlMode>(modeNames, name);
+    return core::enumFromName<ControlMode>(modeNames, name);
 }
 } // namespace figpulley::bench
--- a/src/config/filekind.cpp
+++ b/src/config/filekind.cpp
@@ -1,5 +1,7 @@
 #include "config/filekind.h"
 
+#include "core/nametable.h"
+
 #include <array>
 
 namespace figpulley::config
@@ -17,11 +19,6 @@
 
 std::optional<FileKind> fileKindFromName(std::string_view name) noexcept
 {
-    for (std::size_t index = 0; index < names.size(); ++index) {
-        if (names[index] == name) {
-            return static_cast<FileKind>(index);
-        }
-    }
-    return std::nullopt;
+    return core::enumFromName<FileKind>(names, name);
 }
 } // namespace figpulley::config
--- a/src/config/limitalgorithm.cpp
+++ b/src/config/limitalgorithm.cpp
@@ -1,5 +1,7 @@
 #include "config/limitalgorithm.h"
 
+#include "core/nametable.h"
+
 #include <array>
 
 namespace figpulley::config
@@ -17,11 +19,6 @@
 
 std::optional<LimitAlgorithm> limitAlgorithmFromName(std::string_view name) noexcept
 {
-    for (std::size_t index = 0; index < names.size(); ++index) {
-        if (names[index] == name) {
-            return static_cast<LimitAlgorithm>(index);
-        }
-    }
-    return std::nullopt;
+    return core::enumFromName<LimitAlgorithm>(names, name);
 }
 } // namespace figpulley::config
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -6,6 +6,7 @@
 #include "core/fwd.h"
 #include "core/ids.h"
 #include "core/log.h"
+#include "core/nametable.h"
 #include "core/random.h"
 #include "core/rank.h"
 #include "core/time.h"
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -1,5 +1,7 @@
 #include "core/log.h"
 
+#include "core/nametable.h"
+
 #include <array>
 #include <atomic>
 #include <chrono>
@@ -39,12 +41,7 @@
 
 std::optional<LogLevel> logLevelFromName(std::string_view name) noexcept
 {
-    for (std::size_t index = 0; index < levelNames.size(); ++index) {
-        if (levelNames[index] == name) {
-            return static_cast<LogLevel>(index);
-        }
-    }
-    return std::nullopt;
+    return enumFromName<LogLevel>(levelNames, name);
 }
 
 void setLogLevel(LogLevel level) noexcept
--- a/src/members/member.h
+++ b/src/members/member.h
@@ -47,6 +47,12 @@
     core::TimePoint claimSince {}; ///< when the present claim began here
 };
 
+/// Whether nobody claims that a member is dead.
+[[nodiscard]] inline bool isLive(const Member &member) noexcept
+{
+    return member.announcement.claim != Claim::Dead;
+}
+
 /// The id of a node: a hash of its control address, so that a replaced VM at the same address keeps it.
 [[nodiscard]] core::NodeId nodeIdOf(std::string_view controlAddress) noexcept;
 } // namespace figpulley::members
--- a/src/members/swimmessage.h
+++ b/src/members/swimmessage.h
@@ -47,6 +47,9 @@
 /// Largest encoded message, in bytes, before its authentication tag.
 inline constexpr std::size_t largestMessage = 1340;
 
+/// Bytes of a message besides its announcements, at most.
+inline constexpr std::size_t messageOverhead = 160;
+
 /// Encodes a message in MessagePack.
 [[nodiscard]] std::string encode(const SwimMessage &message);
 
--- a/src/node/egressface.cpp
+++ b/src/node/egressface.cpp
@@ -67,7 +67,6 @@
         if (isNested) {
             call.parent = this->namedParent();
         }
-        this->service = call.service;
         this->noteRoute(call);
         this->exchange->onCancelled([self = this->shared_from_this()] { self->cancel(); });
         this->follow(this->face.controller.begin(context.board, this->id, call, this->started, context.random));
@@ -86,10 +85,16 @@
 
     void noteRoute(const decide::CallRequest &call)
     {
-        const auto &priorities = this->face.context.board.config.read().current->priorities;
+        const auto &board = this->face.context.board;
+        const auto &priorities = board.config.read().current->priorities;
+        // Only names that the configuration or the members vouch for become labels: clients may send any.
+        if (!board.endpoints.read().forService(call.service).empty()) {
+            this->countedService = call.service;
+        }
         if (const auto *route = priorities.match(call.service, call.method, call.path)) {
             this->route = route->name;
             this->priority = priorities.levels[route->level];
+            this->countedService = call.service;
         }
     }
 
@@ -134,7 +139,7 @@
         request.headers.push_back(
             {std::string(proofHeader), context.settings.keys.sign(envelope + "\n" + incoming.method + " " + incoming.path)});
         request.headers.push_back({std::string(callHeader), envelope});
-        context.metrics.countAttempt(this->service, this->hasAttempted);
+        context.metrics.countAttempt(this->countedService, this->hasAttempted);
         this->hasAttempted = true;
 
         AnswerRelay::Callbacks callbacks;
@@ -231,7 +236,8 @@
 
     void count(ErrorKind kind, int status)
     {
-        this->face.context.metrics.countCall(this->service, this->route, this->priority, kind, status, core::steadyNow() - this->started);
+        this->face.context.metrics.countCall(this->countedService, this->route, this->priority, kind, status,
+                                             core::steadyNow() - this->started);
     }
 
     EgressFace &face;
@@ -240,7 +246,7 @@
     std::shared_ptr<AnswerRelay> relay;
     std::optional<CallStep> stepAfterDrop;
     TraceParent trace;
-    std::string service;
+    std::string countedService = "unlisted";
     std::string route = "unlisted";
     std::string priority = "unlisted";
     core::TimePoint started {};
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -44,6 +44,7 @@
     story.section("metrics and status", [&] {
         const auto metrics = caller.get(mesh.control("commesse"), "/metrics", "x").body;
         story.check(metrics.find("figpulley_calls_total") != std::string::npos, "calls are counted");
+        story.check(metrics.find("nessuno") == std::string::npos, "names that clients make up do not become labels");
         const auto status = caller.get(mesh.control("commesse"), "/status", "x").body;
         story.check(status.find("\"revision\": 1") != std::string::npos, "the revision is reported");
     });
