--- a/src/members/swimpull.cpp
+++ b/src/members/swimpull.cpp
@@ -10,7 +10,6 @@
 namespace
 {
 using board::Blackboard;
-using board::MembershipState;
 using core::TimePoint;
 
 constexpr core::Duration pullTimeout = std::chrono::milliseconds(500);
