--- a/src/net/bodypipe.cpp
+++ b/src/net/bodypipe.cpp
@@ -53,11 +53,6 @@
     }
 }
 
-bool BodyPipe::isEmpty() const noexcept
-{
-    return this->offset == this->buffer.size();
-}
-
 bool BodyPipe::isFinished() const noexcept
 {
     return this->finished;
--- a/src/net/bodypipe.h
+++ b/src/net/bodypipe.h
@@ -28,7 +28,6 @@
     /// The consumer went away; the producer is told by onAbandoned.
     void abandon();
 
-    [[nodiscard]] bool isEmpty() const noexcept;
     [[nodiscard]] bool isFinished() const noexcept;
     [[nodiscard]] bool isWhole() const noexcept;
 
