Move the product's object store client from platform/ to store/

Cause: platform/ is to hold the adapter to the users' platform alone; the product's own client stood there. Change: folder and namespace renamed, no behaviour touched. Built; the tests compile.

--- a/src/bench/testbed.cpp
+++ b/src/bench/testbed.cpp
@@ -124,10 +124,10 @@
     net::LoopThread operatorThread;
     std::promise<sync::ApplyResult> done;
     std::unique_ptr<net::HttpClient> client;
-    std::unique_ptr<platform::HttpObjectStore> store;
+    std::unique_ptr<store::HttpObjectStore> store;
     operatorThread.call([&] {
         client = std::make_unique<net::HttpClient>(operatorThread.loop());
-        store = std::make_unique<platform::HttpObjectStore>(*client, this->platformAddress.toString(), platformTimeout);
+        store = std::make_unique<store::HttpObjectStore>(*client, this->platformAddress.toString(), platformTimeout);
         sync::ApplyRequest request;
         request.files = benchFiles(this->deployment, this->options);
         request.appliedBy = "bench";
--- a/src/cli/platformsession.cpp
+++ b/src/cli/platformsession.cpp
@@ -13,7 +13,7 @@
 {
     this->thread.call([&] {
         this->client = std::make_unique<net::HttpClient>(this->thread.loop());
-        this->store = std::make_unique<platform::HttpObjectStore>(*this->client, address, platformTimeout);
+        this->store = std::make_unique<store::HttpObjectStore>(*this->client, address, platformTimeout);
     });
 }
 
--- a/src/cli/platformsession.h
+++ b/src/cli/platformsession.h
@@ -2,7 +2,7 @@
 
 #include "net/httpclient.h"
 #include "net/loopthread.h"
-#include "platform/httpobjectstore.h"
+#include "store/httpobjectstore.h"
 
 #include <functional>
 #include <future>
@@ -24,7 +24,7 @@
     /// Runs an asynchronous call and waits for its result.
     /// @param start receives the store and the callback to pass on
     template<class Result>
-    [[nodiscard]] Result wait(const std::function<void(platform::ObjectStore &, std::function<void(const Result &)>)> &start)
+    [[nodiscard]] Result wait(const std::function<void(store::ObjectStore &, std::function<void(const Result &)>)> &start)
     {
         std::promise<Result> done;
         this->thread.loop().post([&] { start(*this->store, [&done](const Result &result) { done.set_value(result); }); });
@@ -34,6 +34,6 @@
 private:
     net::LoopThread thread;
     std::unique_ptr<net::HttpClient> client;
-    std::unique_ptr<platform::HttpObjectStore> store;
+    std::unique_ptr<store::HttpObjectStore> store;
 };
 } // namespace figpulley::cli
--- a/src/cli/runhistory.cpp
+++ b/src/cli/runhistory.cpp
@@ -14,9 +14,9 @@
 {
 namespace
 {
-platform::StoreResult getObject(PlatformSession &session, const std::string &key)
+store::StoreResult getObject(PlatformSession &session, const std::string &key)
 {
-    return session.wait<platform::StoreResult>([&](platform::ObjectStore &store, auto callback) { store.get(key, callback); });
+    return session.wait<store::StoreResult>([&](store::ObjectStore &store, auto callback) { store.get(key, callback); });
 }
 
 void printManifest(const sync::Manifest &manifest, std::string_view mark)
@@ -25,9 +25,9 @@
                manifest.note.empty() ? "" : "  # " + manifest.note);
 }
 
-std::vector<platform::ObjectName> listNames(PlatformSession &session, const std::string &prefix)
+std::vector<store::ObjectName> listNames(PlatformSession &session, const std::string &prefix)
 {
-    auto result = session.wait<platform::ListResult>([&](platform::ObjectStore &store, auto callback) { store.list(prefix, callback); });
+    auto result = session.wait<store::ListResult>([&](store::ObjectStore &store, auto callback) { store.list(prefix, callback); });
     std::reverse(result.names.begin(), result.names.end());
     return result.names;
 }
--- a/src/node/controlface.cpp
+++ b/src/node/controlface.cpp
@@ -110,7 +110,7 @@
     this->followMembership();
     if (this->context.settings.platform) {
         this->store =
-            std::make_unique<platform::HttpObjectStore>(this->context.client, this->context.settings.platform->toString(), platformTimeout);
+            std::make_unique<store::HttpObjectStore>(this->context.client, this->context.settings.platform->toString(), platformTimeout);
         this->relay = std::make_shared<sync::ConfigRelay>(
             *this->store, [&loop](core::Duration delay, std::function<void()> callback) { loop.after(delay, std::move(callback)); },
             this->snapshots, [this](sync::Snapshot snapshot) { this->takeSnapshot(std::move(snapshot)); }, this->context.random());
@@ -275,9 +275,9 @@
 
 void ControlFace::refreshContacts()
 {
-    this->store->list(contactPrefix, [this](const platform::ListResult &result) {
+    this->store->list(contactPrefix, [this](const store::ListResult &result) {
         for (const auto &name : result.names) {
-            this->store->get(name.key, [this](const platform::StoreResult &object) {
+            this->store->get(name.key, [this](const store::StoreResult &object) {
                 if (object.kind == ErrorKind::None) {
                     this->swim.addSeeds(decodeContacts(object.object.value));
                 }
@@ -294,11 +294,11 @@
         return;
     }
     const auto key = contactKey(this->context.settings.availabilityZone);
-    this->store->get(key, [this, key](const platform::StoreResult &result) {
+    this->store->get(key, [this, key](const store::StoreResult &result) {
         const bool isRead = result.kind == ErrorKind::None || result.kind == ErrorKind::NotFound;
         const auto wanted = isRead ? contactsToPublish(this->context.board, decodeContacts(result.object.value)) : std::nullopt;
         if (wanted) {
-            this->store->put(key, encodeContacts(*wanted), {result.object.version}, [](const platform::StoreResult &) {});
+            this->store->put(key, encodeContacts(*wanted), {result.object.version}, [](const store::StoreResult &) {});
         }
     });
 }
--- a/src/node/controlface.h
+++ b/src/node/controlface.h
@@ -7,7 +7,7 @@
 #include "net/datagramsocket.h"
 #include "net/httpserver.h"
 #include "node/nodecontext.h"
-#include "platform/httpobjectstore.h"
+#include "store/httpobjectstore.h"
 #include "sync/configrelay.h"
 #include "sync/snapshotstore.h"
 
@@ -70,7 +70,7 @@
     sync::SnapshotStore snapshots;
     std::unique_ptr<net::HttpServer> server;
     std::unique_ptr<net::DatagramSocket> socket;
-    std::unique_ptr<platform::HttpObjectStore> store;
+    std::unique_ptr<store::HttpObjectStore> store;
     std::shared_ptr<sync::ConfigRelay> relay;
     std::uint64_t seenGeneration = 0;
     std::uint64_t wantedRevision = 0;
--- a/src/standin/objecttable.cpp
+++ b/src/standin/objecttable.cpp
@@ -3,7 +3,7 @@
 namespace figpulley::standin
 {
 using core::ErrorKind;
-using platform::StoreResult;
+using store::StoreResult;
 
 StoreResult ObjectTable::get(const std::string &key) const
 {
@@ -14,9 +14,9 @@
     return {ErrorKind::None, found->second};
 }
 
-StoreResult ObjectTable::put(const std::string &key, const std::string &value, platform::WriteCondition condition)
+StoreResult ObjectTable::put(const std::string &key, const std::string &value, store::WriteCondition condition)
 {
-    if (value.size() > platform::largestValue) {
+    if (value.size() > store::largestValue) {
         return {ErrorKind::BodyTooLarge, {}};
     }
     const auto found = this->objects.find(key);
@@ -28,16 +28,16 @@
     return {ErrorKind::None, {"", this->lastVersion}};
 }
 
-platform::ListResult ObjectTable::list(const std::string &prefix) const
+store::ListResult ObjectTable::list(const std::string &prefix) const
 {
-    platform::ListResult result;
+    store::ListResult result;
     for (auto at = this->objects.lower_bound(prefix); at != this->objects.end() && at->first.starts_with(prefix); ++at) {
         result.names.push_back({at->first, at->second.version});
     }
     return result;
 }
 
-void ObjectTable::restore(const std::string &key, const platform::StoredObject &object)
+void ObjectTable::restore(const std::string &key, const store::StoredObject &object)
 {
     this->objects[key] = object;
 }
--- a/src/standin/objecttable.h
+++ b/src/standin/objecttable.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/objectstore.h"
+#include "store/objectstore.h"
 
 #include <cstdint>
 #include <map>
@@ -12,15 +12,15 @@
 class ObjectTable
 {
 public:
-    [[nodiscard]] platform::StoreResult get(const std::string &key) const;
-    platform::StoreResult put(const std::string &key, const std::string &value, platform::WriteCondition condition);
-    [[nodiscard]] platform::ListResult list(const std::string &prefix) const;
+    [[nodiscard]] store::StoreResult get(const std::string &key) const;
+    store::StoreResult put(const std::string &key, const std::string &value, store::WriteCondition condition);
+    [[nodiscard]] store::ListResult list(const std::string &prefix) const;
 
     /// Puts an object back to an older value and version, as a restored backup would.
-    void restore(const std::string &key, const platform::StoredObject &object);
+    void restore(const std::string &key, const store::StoredObject &object);
 
 private:
-    std::map<std::string, platform::StoredObject> objects;
+    std::map<std::string, store::StoredObject> objects;
     std::uint64_t lastVersion = 0;
 };
 } // namespace figpulley::standin
--- a/src/standin/platformserver.cpp
+++ b/src/standin/platformserver.cpp
@@ -30,7 +30,7 @@
     return {{"ETag", fmt::format("\"{}\"", version)}};
 }
 
-HttpAnswer answerOf(const platform::StoreResult &result)
+HttpAnswer answerOf(const store::StoreResult &result)
 {
     switch (result.kind) {
     case ErrorKind::None:
@@ -46,9 +46,9 @@
     }
 }
 
-platform::WriteCondition conditionOf(const net::Headers &headers)
+store::WriteCondition conditionOf(const net::Headers &headers)
 {
-    platform::WriteCondition condition;
+    store::WriteCondition condition;
     if (net::findHeader(headers, "If-None-Match") == "*") {
         condition.version = 0;
     }
@@ -66,7 +66,7 @@
 PlatformServer::PlatformServer(net::EventLoop &loop, const net::Address &address)
     : loop(loop)
     , server(loop, address, [this](const std::shared_ptr<net::HttpExchange> &exchange) { this->handle(exchange); },
-             {.bodyBytes = platform::largestValue + 1})
+             {.bodyBytes = store::largestValue + 1})
 {
 }
 
--- a/src/platform/httpobjectstore.cpp
+++ b/src/store/httpobjectstore.cpp
@@ -1,4 +1,4 @@
-#include "platform/httpobjectstore.h"
+#include "store/httpobjectstore.h"
 
 #include <charconv>
 #include <chrono>
@@ -6,7 +6,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-namespace figpulley::platform
+namespace figpulley::store
 {
 namespace
 {
@@ -141,4 +141,4 @@
                            callback(result);
                        });
 }
-} // namespace figpulley::platform
+} // namespace figpulley::store
--- a/src/platform/httpobjectstore.h
+++ b/src/store/httpobjectstore.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "net/httpclient.h"
-#include "platform/objectstore.h"
+#include "store/objectstore.h"
 
-namespace figpulley::platform
+namespace figpulley::store
 {
 /// The platform's object API over HTTP: `/v1/objects/KEY` with `If-Match`, `/v1/watch/KEY`, `/v1/list`.
 class HttpObjectStore : public ObjectStore
@@ -25,4 +25,4 @@
     std::string address;
     core::Duration timeout;
 };
-} // namespace figpulley::platform
+} // namespace figpulley::store
--- a/src/platform/objectstore.h
+++ b/src/store/objectstore.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace figpulley::platform
+namespace figpulley::store
 {
 /// Largest value that the platform holds, in bytes.
 inline constexpr std::size_t largestValue = 1UL << 20U;
@@ -71,4 +71,4 @@
     ObjectStore(const ObjectStore &) = delete;
     ObjectStore &operator=(const ObjectStore &) = delete;
 };
-} // namespace figpulley::platform
+} // namespace figpulley::store
--- a/src/sync/applyprocess.cpp
+++ b/src/sync/applyprocess.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 using core::ErrorKind;
-using platform::StoreResult;
+using store::StoreResult;
 
 constexpr int readTries = 5;
 constexpr int writeTries = 3;
@@ -26,7 +26,7 @@
 }
 } // namespace
 
-ApplyProcess::ApplyProcess(platform::ObjectStore &store, ApplyRequest request, Callback onDone)
+ApplyProcess::ApplyProcess(store::ObjectStore &store, ApplyRequest request, Callback onDone)
     : store(store)
     , request(std::move(request))
     , onDone(std::move(onDone))
@@ -35,14 +35,14 @@
 {
 }
 
-void ApplyProcess::start(platform::ObjectStore &store, ApplyRequest request, Callback onDone)
+void ApplyProcess::start(store::ObjectStore &store, ApplyRequest request, Callback onDone)
 {
     const std::shared_ptr<ApplyProcess> process(new ApplyProcess(store, std::move(request), std::move(onDone)));
     for (const auto &file : process->request.files) {
-        if (file.text.size() > platform::largestValue) {
+        if (file.text.size() > store::largestValue) {
             process->fail(ErrorKind::BodyTooLarge,
                           fmt::format("{} has {} bytes; the platform holds {} at most: split it", file.name, file.text.size(),
-                                      platform::largestValue));
+                                      store::largestValue));
             return;
         }
     }
--- a/src/sync/applyprocess.h
+++ b/src/sync/applyprocess.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/errorkind.h"
-#include "platform/objectstore.h"
+#include "store/objectstore.h"
 #include "sync/snapshot.h"
 
 #include <functional>
@@ -46,23 +46,23 @@
     /// Starts an apply.
     /// @param store the platform; has to outlive the process
     /// @param onDone called once, possibly before this returns
-    static void start(platform::ObjectStore &store, ApplyRequest request, Callback onDone);
+    static void start(store::ObjectStore &store, ApplyRequest request, Callback onDone);
 
 private:
-    ApplyProcess(platform::ObjectStore &store, ApplyRequest request, Callback onDone);
+    ApplyProcess(store::ObjectStore &store, ApplyRequest request, Callback onDone);
 
     void readRoot();
-    void plan(const platform::StoreResult &result);
+    void plan(const store::StoreResult &result);
     void writeNextPart();
     void archivePrevious();
     void writeRoot();
     void readBack();
-    void settle(const platform::StoreResult &result);
+    void settle(const store::StoreResult &result);
     void reportConflict(const std::optional<Manifest> &present);
     void fail(core::ErrorKind kind, std::string message);
     void succeed(bool wasConfirmedByReading);
 
-    platform::ObjectStore &store;
+    store::ObjectStore &store;
     ApplyRequest request;
     Callback onDone;
     Manifest next;
--- a/src/sync/configrelay.cpp
+++ b/src/sync/configrelay.cpp
@@ -13,7 +13,7 @@
 {
 using namespace std::chrono_literals;
 using core::ErrorKind;
-using platform::StoreResult;
+using store::StoreResult;
 
 constexpr core::Duration watchTime = 30s;
 constexpr core::Duration firstBackoff = 200ms;
@@ -21,7 +21,7 @@
 constexpr int largestDoubling = 6;
 } // namespace
 
-ConfigRelay::ConfigRelay(platform::ObjectStore &store, Schedule schedule, const SnapshotStore &snapshots, Deliver deliver,
+ConfigRelay::ConfigRelay(store::ObjectStore &store, Schedule schedule, const SnapshotStore &snapshots, Deliver deliver,
                          std::uint64_t seed)
     : store(store)
     , schedule(std::move(schedule))
--- a/src/sync/configrelay.h
+++ b/src/sync/configrelay.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/random.h"
-#include "platform/objectstore.h"
+#include "store/objectstore.h"
 #include "sync/snapshotstore.h"
 
 #include <functional>
@@ -23,7 +23,7 @@
     /// @param schedule calls back after a time
     /// @param snapshots what the node has; texts it holds are not fetched again
     /// @param deliver takes each newer snapshot
-    ConfigRelay(platform::ObjectStore &store, Schedule schedule, const SnapshotStore &snapshots, Deliver deliver, std::uint64_t seed);
+    ConfigRelay(store::ObjectStore &store, Schedule schedule, const SnapshotStore &snapshots, Deliver deliver, std::uint64_t seed);
 
     /// Takes or gives up the role; the watch that is open ends by itself.
     void setActive(bool isActive);
@@ -36,12 +36,12 @@
 
 private:
     void watch();
-    void takeRoot(const platform::StoreResult &result);
+    void takeRoot(const store::StoreResult &result);
     void fetchMissing(const std::shared_ptr<Snapshot> &snapshot);
     void retryLater();
     void watchAgain();
 
-    platform::ObjectStore &store;
+    store::ObjectStore &store;
     Schedule schedule;
     const SnapshotStore &snapshots;
     Deliver deliver;
--- a/tests/support/fakestore.h
+++ b/tests/support/fakestore.h
@@ -12,7 +12,7 @@
 namespace figpulley::tests
 {
 /// A platform that answers at once, and fails as it is told.
-class FakeStore : public platform::ObjectStore
+class FakeStore : public store::ObjectStore
 {
 public:
     void get(const std::string &key, Callback callback) override
@@ -25,7 +25,7 @@
         callback(this->table.get(key));
     }
 
-    void put(const std::string &key, const std::string &value, platform::WriteCondition condition, Callback callback) override
+    void put(const std::string &key, const std::string &value, store::WriteCondition condition, Callback callback) override
     {
         ++this->calls;
         const bool isRoot = key == sync::rootKey;
@@ -40,7 +40,7 @@
         const auto result = this->table.put(key, value, condition);
         const bool isLost = (isRoot && this->loseRootAnswers > 0) || this->drawsFailure();
         this->loseRootAnswers -= isRoot && this->loseRootAnswers > 0 ? 1 : 0;
-        callback(isLost ? platform::StoreResult {core::ErrorKind::PlatformOutcomeUnknown, {}} : result);
+        callback(isLost ? store::StoreResult {core::ErrorKind::PlatformOutcomeUnknown, {}} : result);
     }
 
     void watch(const std::string &key, std::uint64_t known, core::Duration /*timeout*/, Callback callback) override
@@ -67,7 +67,7 @@
         const auto waiting = std::move(this->watchers);
         this->watchers.clear();
         for (const auto &callback : waiting) {
-            callback(this->isDown ? platform::StoreResult {core::ErrorKind::PlatformUnavailable, {}}
+            callback(this->isDown ? store::StoreResult {core::ErrorKind::PlatformUnavailable, {}}
                                   : this->table.get(std::string(sync::rootKey)));
         }
     }
--- a/tests/support/testvm.h
+++ b/tests/support/testvm.h
@@ -28,7 +28,7 @@
             this->platform = std::make_unique<standin::PlatformServer>(this->thread.loop(), anyPort());
             this->client = std::make_unique<net::HttpClient>(this->thread.loop());
             this->store =
-                std::make_unique<platform::HttpObjectStore>(*this->client, this->platform->address().toString(), std::chrono::seconds(5));
+                std::make_unique<store::HttpObjectStore>(*this->client, this->platform->address().toString(), std::chrono::seconds(5));
             sync::ApplyRequest request;
             request.files = {{"policy.json", testPolicy}, {"priorities.json", testPriorities}};
             request.applyId = "test";
@@ -140,7 +140,7 @@
 
     std::unique_ptr<standin::PlatformServer> platform;
     std::unique_ptr<net::HttpClient> client;
-    std::unique_ptr<platform::HttpObjectStore> store;
+    std::unique_ptr<store::HttpObjectStore> store;
     std::map<std::string, Vm> vms;
     std::string first;
     net::LoopThread thread;
