Event loop: kernel events in batches, timers rounded up and on the monotonic clock

Cause: ACE_Dev_Poll_Reactor takes one event a call, changes the registration twice around each callback, cuts waits to whole milliseconds (so it spins before each timer), and keeps timers by the time of day, which may jump. Change: own epoll wait in batches; ACE keeps the timers in a heap on the monotonic clock. The client can bound idle age and silence of a connection and judge an answer's head.

--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -1,76 +1,52 @@
 #include "net/eventloop.h"
 
-#include <algorithm>
+#include <array>
 #include <atomic>
 #include <mutex>
+#include <stdexcept>
+#include <thread>
 #include <unordered_map>
 #include <vector>
 
-#include <ace/ACE.h>
-#include <ace/Dev_Poll_Reactor.h>
 #include <ace/Event_Handler.h>
-#include <ace/Reactor.h>
-#include <ace/Thread.h>
+#include <ace/Event_Handler_Handle_Timeout_Upcall.h>
+#include <ace/Monotonic_Time_Policy.h>
+#include <ace/Null_Mutex.h>
+#include <ace/Timer_Heap_T.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
 namespace figpulley::net
 {
 namespace
 {
-constexpr int mostDescriptors = 65536; // of one process that a loop can watch; the table is allocated at once
-constexpr long longestWaitMs = 100;
+constexpr int eventsPerTurn = 128; // taken from the kernel at once; more only delay the timers
+constexpr std::int64_t microsecondsPerSecond = 1'000'000;
+constexpr int waitForever = -1;
 
-// ACE refuses a table larger than the process's limit of open files.
-std::size_t descriptorTableSize()
-{
-    return static_cast<std::size_t>(std::min(ACE::max_handles(), mostDescriptors));
-}
+using TimerHeap = ACE_Timer_Heap_T<ACE_Event_Handler *, ACE_Event_Handler_Handle_Timeout_Upcall, ACE_Null_Mutex, ACE_Monotonic_Time_Policy>;
 
 ACE_Time_Value toAce(core::Duration duration)
 {
-    constexpr std::int64_t microsecondsPerSecond = 1'000'000;
     return ACE_Time_Value(static_cast<time_t>(duration.count() / microsecondsPerSecond),
                           static_cast<suseconds_t>(duration.count() % microsecondsPerSecond));
 }
 } // namespace
 
+// ACE's reactors ask the kernel for one event at a time and change the descriptor's registration twice around each callback; the
+// wait is cut to whole milliseconds, so that they spin before each timer. Here the kernel hands over its events in batches and the
+// wait is rounded up. ACE keeps the timers, on the monotonic clock: the time of day may jump.
 class EventLoop::Implementation
 {
 public:
     using ReadyCallback = std::function<void(bool, bool)>;
 
-    // One handler serves a descriptor's number for the life of the loop. libcurl may close a socket before it ends the watch;
-    // the reactor then cannot remove the handler, and would be left with a pointer to it.
-    class DescriptorHandler : public ACE_Event_Handler
+    struct Watch
     {
-    public:
-        explicit DescriptorHandler(int descriptor)
-            : descriptor(descriptor)
-        {
-        }
-        [[nodiscard]] ACE_HANDLE get_handle() const override
-        {
-            return this->descriptor;
-        }
-        int handle_input(ACE_HANDLE /*handle*/) override
-        {
-            this->notify(true, false);
-            return 0;
-        }
-        int handle_output(ACE_HANDLE /*handle*/) override
-        {
-            this->notify(false, true);
-            return 0;
-        }
-        void notify(bool isReadable, bool isWritable) const
-        {
-            // The callback may end its own watch.
-            if (const auto callback = this->onReady) {
-                (*callback)(isReadable, isWritable);
-            }
-        }
-        int descriptor;
-        std::shared_ptr<const ReadyCallback> onReady; // null while the descriptor is not watched
-        bool isStale = false; // the reactor still has the handler of a descriptor that was closed
+        std::shared_ptr<const ReadyCallback> onReady;
+        std::uint32_t events = 0;
+        std::uint32_t generation = 0; // tells an event of an earlier watch of the same descriptor number
     };
 
     class TimerHandler : public ACE_Event_Handler
@@ -100,33 +76,97 @@
         long id = noTimer;
     };
 
-    class Wakeup : public ACE_Event_Handler
+    Implementation()
+        : epollDescriptor(epoll_create1(EPOLL_CLOEXEC))
+        , wakeDescriptor(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
     {
-    public:
-        int handle_exception(ACE_HANDLE /*handle*/) override
-        {
-            return 0;
+        if (this->epollDescriptor < 0 || this->wakeDescriptor < 0) {
+            throw std::runtime_error("cannot create the descriptors of an event loop");
         }
-    };
+        epoll_event event {};
+        event.events = EPOLLIN;
+        event.data.u64 = this->keyOf(this->wakeDescriptor, 0);
+        epoll_ctl(this->epollDescriptor, EPOLL_CTL_ADD, this->wakeDescriptor, &event);
+    }
 
-    Implementation()
-        : reactor(new ACE_Dev_Poll_Reactor(descriptorTableSize()), true)
+    ~Implementation()
+    {
+        close(this->wakeDescriptor);
+        close(this->epollDescriptor);
+    }
+
+    Implementation(const Implementation &) = delete;
+    Implementation &operator=(const Implementation &) = delete;
+
+    [[nodiscard]] static std::uint64_t keyOf(int descriptor, std::uint32_t generation) noexcept
     {
+        return (static_cast<std::uint64_t>(generation) << 32U) | static_cast<std::uint32_t>(descriptor);
     }
 
     void run()
     {
-        this->reactor.owner(ACE_Thread::self());
+        this->owner.store(std::this_thread::get_id());
         while (!this->isStopped.load()) {
-            ACE_Time_Value wait(0, longestWaitMs * 1000);
-            this->reactor.handle_events(wait);
-            this->runPosted();
-            for (const auto &callback : this->turnEnd) {
-                callback();
-            }
-            this->timerGraveyard.clear();
+            this->turn();
         }
         this->runPosted();
+        this->owner.store(std::thread::id());
+    }
+
+    void turn()
+    {
+        std::array<epoll_event, eventsPerTurn> events;
+        const int count = epoll_wait(this->epollDescriptor, events.data(), eventsPerTurn, this->waitMs());
+        for (int at = 0; at < count; ++at) {
+            this->dispatch(events[static_cast<std::size_t>(at)]);
+        }
+        this->timerHeap.expire();
+        this->runPosted();
+        for (const auto &callback : this->turnEnd) {
+            callback();
+        }
+        this->timerGraveyard.clear();
+    }
+
+    // Rounded up, so that the loop does not spin through the last fraction of a millisecond before a timer.
+    [[nodiscard]] int waitMs()
+    {
+        {
+            const std::lock_guard lock(this->mutex);
+            if (!this->posted.empty()) {
+                return 0;
+            }
+        }
+        if (this->timerHeap.is_empty()) {
+            return waitForever;
+        }
+        const auto left = this->timerHeap.earliest_time() - this->timerHeap.gettimeofday();
+        if (left <= ACE_Time_Value::zero) {
+            return 0;
+        }
+        return static_cast<int>(left.sec() * 1000 + (left.usec() + 999) / 1000);
+    }
+
+    void dispatch(const epoll_event &event)
+    {
+        const auto descriptor = static_cast<int>(static_cast<std::uint32_t>(event.data.u64));
+        if (descriptor == this->wakeDescriptor) {
+            std::uint64_t drained = 0;
+            static_cast<void>(read(this->wakeDescriptor, &drained, sizeof drained));
+            return;
+        }
+        const auto found = this->watches.find(descriptor);
+        const bool isCurrent = found != this->watches.end() && found->second.onReady
+            && event.data.u64 == keyOf(descriptor, found->second.generation);
+        if (!isCurrent) {
+            return;
+        }
+        // The callback may end its own watch.
+        const auto callback = found->second.onReady;
+        const bool isBroken = (event.events & (EPOLLERR | EPOLLHUP)) != 0;
+        const auto wanted = found->second.events;
+        (*callback)((event.events & EPOLLIN) != 0 || (isBroken && (wanted & EPOLLIN) != 0),
+                    (event.events & EPOLLOUT) != 0 || (isBroken && (wanted & EPOLLOUT) != 0));
     }
 
     void runPosted()
@@ -141,11 +181,20 @@
         }
     }
 
+    void wake() const
+    {
+        if (this->owner.load() == std::this_thread::get_id()) {
+            return;
+        }
+        const std::uint64_t one = 1;
+        static_cast<void>(write(this->wakeDescriptor, &one, sizeof one));
+    }
+
     TimerId schedule(core::Duration delay, core::Duration interval, Callback callback)
     {
         auto timer = std::make_shared<TimerHandler>(*this, std::move(callback), interval.count() > 0);
         timer->reference_counting_policy().value(ACE_Event_Handler::Reference_Counting_Policy::DISABLED);
-        timer->id = this->reactor.schedule_timer(timer.get(), nullptr, toAce(delay), toAce(interval));
+        timer->id = this->timerHeap.schedule(timer.get(), nullptr, this->timerHeap.gettimeofday() + toAce(delay), toAce(interval));
         this->timers.emplace(timer->id, timer);
         return timer->id;
     }
@@ -163,15 +212,29 @@
         this->timerGraveyard.push_back(std::move(timer));
     }
 
-    Wakeup wakeup;
+    void apply(int descriptor, Watch &watch, std::uint32_t events)
+    {
+        epoll_event event {};
+        event.events = events;
+        event.data.u64 = keyOf(descriptor, watch.generation);
+        // libcurl may close a socket before it ends the watch, so what the kernel has of this number is not certain.
+        if (epoll_ctl(this->epollDescriptor, EPOLL_CTL_ADD, descriptor, &event) != 0) {
+            epoll_ctl(this->epollDescriptor, EPOLL_CTL_MOD, descriptor, &event);
+        }
+        watch.events = events;
+    }
+
+    int epollDescriptor;
+    int wakeDescriptor;
     std::atomic<bool> isStopped {false};
+    std::atomic<std::thread::id> owner;
     std::mutex mutex;
     std::vector<Callback> posted;
     std::vector<Callback> turnEnd;
-    std::unordered_map<int, std::unique_ptr<DescriptorHandler>> descriptors;
+    std::unordered_map<int, Watch> watches;
     std::unordered_map<long, std::shared_ptr<TimerHandler>> timers;
     std::vector<std::shared_ptr<TimerHandler>> timerGraveyard;
-    ACE_Reactor reactor; // the last member, so that it goes before the handlers that it points to
+    TimerHeap timerHeap; // the last member, so that it goes before the handlers that it points to
 };
 
 EventLoop::EventLoop()
@@ -189,7 +252,7 @@
 void EventLoop::stop()
 {
     this->implementation->isStopped.store(true);
-    this->implementation->reactor.notify(&this->implementation->wakeup);
+    this->implementation->wake();
 }
 
 void EventLoop::post(Callback callback)
@@ -198,7 +261,7 @@
         const std::lock_guard lock(this->implementation->mutex);
         this->implementation->posted.push_back(std::move(callback));
     }
-    this->implementation->reactor.notify(&this->implementation->wakeup);
+    this->implementation->wake();
 }
 
 EventLoop::TimerId EventLoop::after(core::Duration delay, Callback callback)
@@ -217,45 +280,35 @@
     if (!self.timers.contains(timer)) {
         return;
     }
-    self.reactor.cancel_timer(timer);
+    self.timerHeap.cancel(timer);
     self.bury(self.takeTimer(timer));
 }
 
 void EventLoop::watch(int descriptor, bool isRead, bool isWrite, std::function<void(bool, bool)> onReady)
 {
     auto &self = *this->implementation;
-    ACE_Reactor_Mask mask = ACE_Event_Handler::NULL_MASK;
-    if (isRead) {
-        mask |= ACE_Event_Handler::READ_MASK;
-    }
-    if (isWrite) {
-        mask |= ACE_Event_Handler::WRITE_MASK;
-    }
-    auto &handler = self.descriptors[descriptor];
-    if (!handler) {
-        handler = std::make_unique<Implementation::DescriptorHandler>(descriptor);
-    }
-    const bool isWatched = handler->onReady != nullptr;
-    if (!isWatched) {
-        handler->onReady = std::make_shared<const Implementation::ReadyCallback>(std::move(onReady));
-        self.reactor.register_handler(handler.get(), mask);
-    }
-    if (isWatched || handler->isStale) {
-        self.reactor.mask_ops(handler.get(), mask, ACE_Reactor::SET_MASK);
+    const std::uint32_t events = (isRead ? EPOLLIN : 0U) | (isWrite ? EPOLLOUT : 0U);
+    auto &watch = self.watches[descriptor];
+    if (!watch.onReady) {
+        ++watch.generation;
+        watch.onReady = std::make_shared<const Implementation::ReadyCallback>(std::move(onReady));
+        self.apply(descriptor, watch, events);
+    } else if (watch.events != events) {
+        self.apply(descriptor, watch, events);
     }
-    handler->isStale = false;
 }
 
 void EventLoop::unwatch(int descriptor)
 {
     auto &self = *this->implementation;
-    const auto found = self.descriptors.find(descriptor);
-    if (found == self.descriptors.end() || !found->second->onReady) {
+    const auto found = self.watches.find(descriptor);
+    if (found == self.watches.end() || !found->second.onReady) {
         return;
     }
-    auto &handler = *found->second;
-    handler.onReady.reset();
-    handler.isStale = self.reactor.remove_handler(&handler, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL) == -1;
+    found->second.onReady.reset();
+    found->second.events = 0;
+    epoll_event unused {};
+    epoll_ctl(self.epollDescriptor, EPOLL_CTL_DEL, descriptor, &unused);
 }
 
 void EventLoop::onTurnEnd(Callback callback)
--- a/src/net/eventloop.h
+++ b/src/net/eventloop.h
@@ -7,7 +7,7 @@
 
 namespace figpulley::net
 {
-/// One thread's reactor: descriptors, timers, and work posted by other threads. Built on ACE.
+/// One thread's loop: descriptors, timers on the monotonic clock, and work posted by other threads. Timers are kept by ACE.
 class EventLoop
 {
 public:
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -8,6 +8,9 @@
 #include <vector>
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace figpulley::net
 {
@@ -16,7 +19,7 @@
 using namespace std::chrono_literals;
 using core::ErrorKind;
 
-constexpr long largestConnectionPool = 512;
+constexpr long largestConnectionPool = 1024; // kept connections of a node; a fourth of the descriptors of a small VM
 constexpr long largestIdleSeconds = 30; // shorter than servers keep idle connections, so that none closes under a request
 constexpr std::size_t keptHandles = 256;
 constexpr int httpNoContent = 204;
@@ -119,7 +122,7 @@
         }
         const auto colon = line.find(':');
         if (colon == std::string_view::npos) {
-            return line.size();
+            return isRejected(transfer) ? 0 : line.size();
         }
         auto value = line.substr(colon + 1);
         const auto first = value.find_first_not_of(" \t");
@@ -137,6 +140,18 @@
         return line.size();
     }
 
+    // The empty line after the last header of a final answer is the moment to judge it: nothing of the body was delivered yet.
+    static bool isRejected(Transfer &transfer)
+    {
+        long status = 0;
+        curl_easy_getinfo(transfer.handle, CURLINFO_RESPONSE_CODE, &status);
+        if (status < httpFirstFinal || !transfer.callbacks.isAcceptable) {
+            return false;
+        }
+        transfer.head.status = static_cast<int>(status);
+        return !transfer.callbacks.isAcceptable(transfer.head);
+    }
+
     static std::size_t onWrite(char *data, std::size_t size, std::size_t count, void *context)
     {
         auto &transfer = *static_cast<Transfer *>(context);
@@ -291,7 +306,9 @@
         curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(handle, CURLOPT_PROXY, "");
         curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
-        curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, largestIdleSeconds);
+        const auto idleSeconds = std::chrono::duration_cast<std::chrono::seconds>(request.largestIdle).count();
+        curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, idleSeconds > 0 ? static_cast<long>(idleSeconds) : largestIdleSeconds);
+        setSilence(handle, request.silence);
         curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, request.isFreshConnection ? 1L : 0L);
         curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, request.isFreshConnection ? 1L : 0L);
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, std::max(1L, static_cast<long>(core::toMilliseconds(request.timeout))));
@@ -303,6 +320,28 @@
         }
     }
 
+    // Both are needed: the user timeout covers bytes that were sent, the probes a connection that only waits for an answer.
+    static void setSilence(CURL *handle, core::Duration silence)
+    {
+        const auto seconds = static_cast<long>(std::chrono::duration_cast<std::chrono::seconds>(silence).count());
+        if (seconds == 0) {
+            return;
+        }
+        curl_easy_setopt(handle, CURLOPT_TCP_KEEPALIVE, 1L);
+        curl_easy_setopt(handle, CURLOPT_TCP_KEEPIDLE, 1L);
+        curl_easy_setopt(handle, CURLOPT_TCP_KEEPINTVL, 1L);
+        curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &Implementation::onSocketMade);
+        curl_easy_setopt(handle, CURLOPT_SOCKOPTDATA, reinterpret_cast<void *>(seconds));
+    }
+
+    static int onSocketMade(void *context, curl_socket_t socket, curlsocktype /*purpose*/)
+    {
+        const auto seconds = reinterpret_cast<long>(context);
+        const auto milliseconds = static_cast<unsigned>(seconds * 1000);
+        setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
+        return CURL_SOCKOPT_OK;
+    }
+
     static void setCallbacks(Transfer &transfer)
     {
         auto *handle = transfer.handle;
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -27,6 +27,8 @@
     bool isFreshConnection = false; ///< never send it on a connection that was used before
     bool mayResend = true; ///< libcurl may send it again when a reused connection dies before an answer
     std::string bindAddress; ///< local IP to send from; empty for any
+    core::Duration largestIdle {}; ///< a kept connection that was idle longer is not used; 0: the client's default
+    core::Duration silence {}; ///< a connection whose peer acknowledges nothing for this long is given up; 0: never
 };
 
 /// The head of an answer.
@@ -47,6 +49,8 @@
 /// Receives an answer piece by piece.
 struct ClientCallbacks
 {
+    /// Judges the head of a final answer when it has arrived; false ends the exchange as AnswerLost and closes the connection.
+    std::function<bool(const ClientAnswerHead &)> isAcceptable;
     std::function<void(const ClientAnswerHead &)> onHead;
     std::function<bool(std::string_view)> onData; ///< returns false to pause; resume() goes on after the piece, which counts as taken
     std::function<void(const ClientResult &)> onDone;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "core/errorkind.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <chrono>
@@ -27,8 +28,8 @@
 {
 using namespace std::chrono_literals;
 
-constexpr core::Duration cancellationSweep = 50ms;
-constexpr core::Duration idleSweep = 1s;
+constexpr core::Duration cancellationSweep = 100ms; // callers that left are noticed within it, a fifth of what callers are promised
+constexpr core::Duration shortestIdleSweep = 1s; // idle connections are closed with this precision
 constexpr int runsPerTurn = 16;
 constexpr std::size_t streamBlock = 32UL * 1024UL;
 constexpr int listenBacklog = 1024;
@@ -65,6 +66,8 @@
     static void onCompleted(void *context, MHD_Connection *connection, void **state, MHD_RequestTerminationCode code);
     static void *keepUri(void *context, const char *uri, MHD_Connection *connection);
     void serve();
+    void armIdleSweep();
+    void armCancellationSweep();
     void sweepCancelled();
 
     EventLoop &loop;
@@ -132,6 +135,20 @@
         this->resume();
     }
 
+    [[nodiscard]] std::string peerIp() const override
+    {
+        if (this->isClosed) {
+            return {};
+        }
+        const auto *info = MHD_get_connection_info(this->connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+        const auto *peer = info != nullptr ? reinterpret_cast<const sockaddr_in *>(info->client_addr) : nullptr;
+        std::array<char, INET_ADDRSTRLEN> text {};
+        if (peer == nullptr || inet_ntop(AF_INET, &peer->sin_addr, text.data(), text.size()) == nullptr) {
+            return {};
+        }
+        return text.data();
+    }
+
     void onCancelled(std::function<void()> callback) override
     {
         this->cancelled = std::move(callback);
@@ -166,6 +183,7 @@
         if (!this->isSuspended) {
             this->isSuspended = true;
             this->server->suspended.insert(this);
+            this->server->armCancellationSweep();
             MHD_suspend_connection(this->connection);
         }
     }
@@ -370,8 +388,6 @@
             this->serve();
         }
     });
-    this->cancellationTimer = this->loop.every(cancellationSweep, [this] { this->sweepCancelled(); });
-    this->idleTimer = this->loop.every(idleSweep, [this] { this->serve(); });
 }
 
 HttpServer::Implementation::~Implementation()
@@ -405,6 +421,31 @@
         }
     }
     this->isServing = false;
+    this->armIdleSweep();
+}
+
+// libmicrohttpd closes idle connections only while it runs; without connections no timer is needed.
+void HttpServer::Implementation::armIdleSweep()
+{
+    MHD_UNSIGNED_LONG_LONG wait = 0;
+    if (this->idleTimer != EventLoop::noTimer || MHD_get_timeout(this->daemon, &wait) != MHD_YES) {
+        return;
+    }
+    const core::Duration delay = std::max<core::Duration>(shortestIdleSweep, std::chrono::milliseconds(wait));
+    this->idleTimer = this->loop.after(delay, [this] {
+        this->idleTimer = EventLoop::noTimer;
+        this->serve();
+    });
+}
+
+void HttpServer::Implementation::armCancellationSweep()
+{
+    if (this->cancellationTimer == EventLoop::noTimer) {
+        this->cancellationTimer = this->loop.after(cancellationSweep, [this] {
+            this->cancellationTimer = EventLoop::noTimer;
+            this->sweepCancelled();
+        });
+    }
 }
 
 // A suspended connection is not read, so libmicrohttpd does not notice that its peer went away.
@@ -413,6 +454,7 @@
     if (this->suspended.empty()) {
         return;
     }
+    this->armCancellationSweep();
     std::vector<std::weak_ptr<Exchange>> exchanges;
     std::vector<pollfd> descriptors;
     exchanges.reserve(this->suspended.size());
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -39,6 +39,9 @@
 
     [[nodiscard]] virtual const HttpRequest &request() const noexcept = 0;
 
+    /// IP of the caller; empty once the connection is closed.
+    [[nodiscard]] virtual std::string peerIp() const = 0;
+
     /// Answers; only the first answer counts.
     virtual void answer(HttpAnswer answer) = 0;
 
