--- a/src/cli/commandline.cpp
+++ b/src/cli/commandline.cpp
@@ -14,6 +14,7 @@
 {
 constexpr std::array commandTable {
     Command {"node", "--settings FILE", "run one node beside the upstream of this VM", &runNode},
+    Command {"mesh", "--settings FILE", "run one node whose peers are found through the platform's store", &runMesh},
     Command {"check", "FILE...", "check operators' files without applying them", &runCheck},
     Command {"apply", "--platform IP:PORT FILE...", "put a set of files in force as a whole", &runApply},
     Command {"status", "--node IP:PORT...", "show what is in force and how the services are", &runStatus},
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -6,6 +6,7 @@
 namespace figpulley::cli
 {
 int runNode(const std::vector<std::string> &arguments);
+int runMesh(const std::vector<std::string> &arguments);
 int runCheck(const std::vector<std::string> &arguments);
 int runApply(const std::vector<std::string> &arguments);
 int runStatus(const std::vector<std::string> &arguments);
--- /dev/null
+++ b/src/cli/runmesh.cpp
@@ -0,0 +1,91 @@
+#include "cli/command.h"
+#include "cli/commands.h"
+#include "cli/files.h"
+#include "cli/options.h"
+#include "cli/signalwatch.h"
+#include "core/log.h"
+#include "mesh/meshnode.h"
+#include "platform/platformstore.h"
+#include "platform/platformwire.h"
+
+#include <cstdlib>
+
+#include <fmt/format.h>
+
+namespace figpulley::cli
+{
+namespace
+{
+namespace leaf = core::leaf;
+
+constexpr const char *settingsVariable = "FIGPULLEY_CONFIG";
+
+leaf::result<mesh::MeshSettings> loadSettings(const std::string &path)
+{
+    BOOST_LEAF_AUTO(text, readFile(path));
+    text::Problems problems;
+    auto settings = mesh::readMeshSettings(path, text, problems);
+    for (const auto &problem : problems) {
+        fmt::print(stderr, "{}\n", text::describe(problem));
+    }
+    if (!settings) {
+        return core::failure(core::ErrorKind::InvalidFile, "the settings are not valid");
+    }
+    return std::move(*settings);
+}
+
+// The first signal drains, the second ends at once.
+int serve(const mesh::MeshSettings &settings)
+{
+    core::setLogLevel(settings.logLevel);
+    net::EventLoop loop;
+    net::HttpClient client(loop);
+    const platform::PlatformWire wire;
+    platform::PlatformStore store(client, settings.store.toString());
+    mesh::MeshNode node(loop, client, settings, wire, store);
+    std::size_t cut = 0;
+    const auto end = [&](std::size_t cutRequests) {
+        cut = cutRequests;
+        loop.stop();
+    };
+    const SignalWatch signals(loop, [&](int received) {
+        if (received == 1) {
+            node.stop(end);
+        } else {
+            loop.stop();
+        }
+    });
+    node.start();
+    loop.run();
+    core::log(cut == 0 ? core::LogLevel::Info : core::LogLevel::Warning, "node.stopped", {{"requests_cut", fmt::to_string(cut)}});
+    return cut == 0 ? exitOk : exitFailed;
+}
+} // namespace
+
+int runMesh(const std::vector<std::string> &arguments)
+{
+    auto options = makeOptions("mesh", "Runs one node beside an endpoint, with peers found through the platform's store. SIGTERM drains it.");
+    options.add_options()("settings", fmt::format("settings file, JSON with comments; else the path in {}", settingsVariable),
+                          cxxopts::value<std::string>());
+    const auto parsed = parseOptions(options, arguments);
+    if (parsed.count("help") > 0) {
+        fmt::print("{}", options.help());
+        return exitOk;
+    }
+    const auto *fromEnvironment = std::getenv(settingsVariable);
+    if (parsed.count("settings") == 0 && fromEnvironment == nullptr) {
+        usageError(fmt::format("--settings or {} is needed", settingsVariable));
+    }
+    const std::string path = parsed.count("settings") > 0 ? parsed["settings"].as<std::string>() : std::string(fromEnvironment);
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<int> {
+            BOOST_LEAF_AUTO(settings, loadSettings(path));
+            return serve(settings);
+        },
+        [](const core::ErrorDetail &detail) {
+            fmt::print(stderr, "figpulley mesh: {}\n", detail.text);
+            return exitFailed;
+        },
+        [] { return exitFailed; });
+}
+} // namespace figpulley::cli
--- a/src/cli/signalwatch.cpp
+++ b/src/cli/signalwatch.cpp
@@ -1,17 +1,29 @@
 #include "cli/signalwatch.h"
 
+#include <array>
 #include <atomic>
 #include <csignal>
+#include <stdexcept>
+#include <utility>
+
+#include <fcntl.h>
+#include <unistd.h>
 
 namespace figpulley::cli
 {
 namespace
 {
 std::atomic<int> received {0};
+std::atomic<int> wakeEnd {-1};
 
 extern "C" void countSignal(int /*signal*/)
 {
     received.fetch_add(1);
+    const int descriptor = wakeEnd.load();
+    if (descriptor >= 0) {
+        const char byte = 0;
+        static_cast<void>(!write(descriptor, &byte, 1));
+    }
 }
 } // namespace
 
@@ -26,4 +38,29 @@
 {
     return received.load();
 }
+
+SignalWatch::SignalWatch(net::EventLoop &loop, std::function<void(int)> onStop)
+    : loop(loop)
+{
+    std::array<int, 2> ends {};
+    if (pipe2(ends.data(), O_NONBLOCK | O_CLOEXEC) != 0) {
+        throw std::runtime_error("cannot create a pipe for signals");
+    }
+    this->readEnd = ends[0];
+    wakeEnd.store(ends[1]);
+    watchSignals();
+    loop.watch(this->readEnd, true, false, [end = this->readEnd, onStop = std::move(onStop)](bool, bool) {
+        std::array<char, 16> drained {};
+        while (read(end, drained.data(), drained.size()) > 0) {
+        }
+        onStop(signalsReceived());
+    });
+}
+
+SignalWatch::~SignalWatch()
+{
+    this->loop.unwatch(this->readEnd);
+    close(wakeEnd.exchange(-1));
+    close(this->readEnd);
+}
 } // namespace figpulley::cli
--- a/src/core/errorkind.cpp
+++ b/src/core/errorkind.cpp
@@ -8,7 +8,7 @@
 {
 constexpr std::array<std::string_view, 3> ranNames {"no", "unknown", "yes"};
 
-constexpr std::array<ErrorAnswer, 25> table {{
+constexpr std::array<ErrorAnswer, 29> table {{
     {ErrorKind::None, "none", 200, Ran::Yes, false, "answer of the upstream"},
     {ErrorKind::Overloaded, "overloaded", 503, Ran::No, true, "the endpoint has no capacity for this priority"},
     {ErrorKind::ShedEarly, "shed-early", 503, Ran::No, false, "a service on the path has no capacity for this priority"},
@@ -34,6 +34,10 @@
     {ErrorKind::PlatformOutcomeUnknown, "platform-outcome-unknown", 504, Ran::Unknown, false, "the write may or may not have taken effect"},
     {ErrorKind::NotFound, "not-found", 404, Ran::No, false, "there is no such object"},
     {ErrorKind::Internal, "internal", 500, Ran::Unknown, false, "internal error"},
+    {ErrorKind::NotServing, "not-serving", 503, Ran::No, true, "the endpoint has left, was replaced or is not running"},
+    {ErrorKind::ConfigurationMissing, "configuration-missing", 503, Ran::No, false, "the node knows no configuration yet"},
+    {ErrorKind::HistoryGone, "history-gone", 410, Ran::No, true, "the store has discarded the changes since that revision"},
+    {ErrorKind::Stopping, "stopping", 503, Ran::No, true, "the node is stopping"},
 }};
 
 constexpr bool isInOrder()
@@ -46,7 +50,7 @@
     return true;
 }
 static_assert(isInOrder(), "answerFor() indexes the table by kind");
-static_assert(table.size() == static_cast<std::size_t>(ErrorKind::Internal) + 1, "every kind has a row");
+static_assert(table.size() == static_cast<std::size_t>(ErrorKind::Stopping) + 1, "every kind has a row");
 } // namespace
 
 std::string_view name(Ran ran) noexcept
@@ -54,7 +58,7 @@
     return ranNames[static_cast<std::size_t>(ran)];
 }
 
-const std::array<ErrorAnswer, 25> &errorTable() noexcept
+const std::array<ErrorAnswer, 29> &errorTable() noexcept
 {
     return table;
 }
--- a/src/core/errorkind.h
+++ b/src/core/errorkind.h
@@ -44,6 +44,10 @@
     PlatformOutcomeUnknown,
     NotFound,
     Internal,
+    NotServing,
+    ConfigurationMissing,
+    HistoryGone,
+    Stopping,
 };
 
 /// What figpulley answers for one error kind.
@@ -58,7 +62,7 @@
 };
 
 /// The closed table from kind to answer, in the order of the enumeration.
-[[nodiscard]] const std::array<ErrorAnswer, 25> &errorTable() noexcept;
+[[nodiscard]] const std::array<ErrorAnswer, 29> &errorTable() noexcept;
 
 /// Looks up the answer for a kind.
 /// @param kind any kind
--- /dev/null
+++ b/src/discovery/endpointrecord.cpp
@@ -0,0 +1,87 @@
+#include "discovery/endpointrecord.h"
+
+#include "core/nametable.h"
+#include "net/address.h"
+
+#include <array>
+
+#include <nlohmann/json.hpp>
+
+namespace figpulley::discovery
+{
+namespace
+{
+constexpr std::array<std::string_view, 4> stateNames {"ready", "draining", "gone", "silent"};
+static_assert(stateNames.size() == static_cast<std::size_t>(EndpointState::Silent) + 1, "every state has a name");
+
+constexpr int mostSlots = 1'000'000; // larger figures can only be an error of the writer
+
+std::optional<std::string> textOf(const nlohmann::json &object, const char *key)
+{
+    const auto found = object.find(key);
+    if (found == object.end() || !found->is_string()) {
+        return std::nullopt;
+    }
+    return found->get<std::string>();
+}
+
+std::optional<std::int64_t> numberOf(const nlohmann::json &object, const char *key)
+{
+    const auto found = object.find(key);
+    if (found == object.end() || !found->is_number_integer()) {
+        return std::nullopt;
+    }
+    return found->get<std::int64_t>();
+}
+} // namespace
+
+std::string_view name(EndpointState state) noexcept
+{
+    return stateNames[static_cast<std::size_t>(state)];
+}
+
+std::string encode(const EndpointRecord &record)
+{
+    return nlohmann::json {
+        {"node", record.node},
+        {"id", record.id},
+        {"service", record.service},
+        {"zone", record.zone},
+        {"version", record.version},
+        {"slots", record.slots},
+        {"state", name(record.state)},
+        {"incarnation", record.incarnation},
+        {"sequence", record.sequence},
+        {"cold_ms", record.coldMs},
+    }
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::optional<EndpointRecord> decodeEndpointRecord(std::string_view text)
+{
+    const auto object = nlohmann::json::parse(text, nullptr, false);
+    if (!object.is_object()) {
+        return std::nullopt;
+    }
+    const auto node = textOf(object, "node");
+    const auto id = textOf(object, "id");
+    const auto service = textOf(object, "service");
+    const auto zone = textOf(object, "zone");
+    const auto version = textOf(object, "version");
+    const auto stateName = textOf(object, "state");
+    const auto slots = numberOf(object, "slots");
+    const auto incarnation = numberOf(object, "incarnation");
+    const auto sequence = numberOf(object, "sequence");
+    const auto coldMs = numberOf(object, "cold_ms");
+    const bool isComplete = node && id && service && zone && version && stateName && slots && incarnation && sequence && coldMs;
+    if (!isComplete || id->empty() || service->empty() || !net::parseAddress(*node)) {
+        return std::nullopt;
+    }
+    const auto state = core::enumFromName<EndpointState>(stateNames, *stateName);
+    const bool isInRange = *slots >= 0 && *slots <= mostSlots && *incarnation >= 0 && *coldMs >= 0;
+    if (!state || !isInRange) {
+        return std::nullopt;
+    }
+    return EndpointRecord {*node, *id, *service, *zone, *version, static_cast<int>(*slots), *state, *incarnation, *sequence, *coldMs};
+}
+} // namespace figpulley::discovery
--- /dev/null
+++ b/src/discovery/localendpoint.cpp
@@ -0,0 +1,144 @@
+#include "discovery/localendpoint.h"
+
+#include <utility>
+
+namespace figpulley::discovery
+{
+namespace
+{
+// While the store cannot be read after a restart, one heartbeat may be a late one from before a departure that the earlier process
+// acknowledged; two in a row are not.
+constexpr int heartbeatsWithoutStore = 2;
+} // namespace
+
+LocalEndpoint::LocalEndpoint(LocalIdentity identity)
+    : identity(std::move(identity))
+{
+}
+
+// Incarnations are ordered by their start. Where none is told, another id is taken as a newer one.
+bool LocalEndpoint::isNewIncarnation(const std::string &id, std::int64_t incarnation) const noexcept
+{
+    if (!this->known) {
+        return true;
+    }
+    if (incarnation != this->known->incarnation) {
+        return incarnation > this->known->incarnation;
+    }
+    return id != this->known->id;
+}
+
+Hearing LocalEndpoint::hear(const Announcement &announcement, core::TimePoint now)
+{
+    if (announcement.service != this->identity.service) {
+        return Hearing::Foreign;
+    }
+    if (this->known && announcement.incarnation < this->known->incarnation) {
+        return Hearing::Stale;
+    }
+    const bool isNew = this->isNewIncarnation(announcement.id, announcement.incarnation);
+    if (!isNew && announcement.sequence <= this->known->sequence && this->heartbeatsSinceStart > 0) {
+        return Hearing::Stale;
+    }
+    this->heardAt = now;
+    ++this->heartbeatsSinceStart;
+    EndpointRecord next {
+        .node = this->identity.node,
+        .id = announcement.id,
+        .service = announcement.service,
+        .zone = this->identity.zone,
+        .version = announcement.version,
+        .slots = announcement.slots,
+        .state = announcement.isDraining ? EndpointState::Draining : EndpointState::Ready,
+        .incarnation = announcement.incarnation,
+        .sequence = announcement.sequence,
+        .coldMs = core::toMilliseconds(announcement.coldFor),
+    };
+    if (!isNew && isFinal(this->known->state)) {
+        next.state = this->known->state;
+    }
+    // The countdown and the sequence change with every heartbeat; others learn of a change only by state, slots and version.
+    const bool isSame = !isNew && next.state == this->known->state && next.slots == this->known->slots
+        && next.version == this->known->version && next.service == this->known->service;
+    this->known = std::move(next);
+    return isSame ? Hearing::Unchanged : Hearing::Changed;
+}
+
+Hearing LocalEndpoint::leave(const Departure &departure, core::TimePoint now)
+{
+    if (!this->known) {
+        this->known = EndpointRecord {};
+        this->known->node = this->identity.node;
+        this->known->service = this->identity.service;
+        this->known->zone = this->identity.zone;
+        this->known->id = departure.id;
+        this->known->incarnation = departure.incarnation;
+        this->known->state = EndpointState::Gone;
+        this->heardAt = now;
+        return Hearing::Changed;
+    }
+    const bool isOther = departure.id != this->known->id || (departure.incarnation != 0 && departure.incarnation != this->known->incarnation);
+    if (isOther) {
+        return Hearing::Stale;
+    }
+    if (this->known->state == EndpointState::Gone) {
+        return Hearing::Unchanged;
+    }
+    this->heardAt = now;
+    this->known->state = EndpointState::Gone;
+    return Hearing::Changed;
+}
+
+bool LocalEndpoint::adopt(const std::optional<EndpointRecord> &stored, core::TimePoint now)
+{
+    this->isStoreRead = true;
+    if (!stored || stored->service != this->identity.service) {
+        return this->known.has_value();
+    }
+    if (!this->known) {
+        this->known = *stored;
+        this->known->node = this->identity.node;
+        this->heardAt = now;
+        return false;
+    }
+    if (stored->incarnation > this->known->incarnation) {
+        this->known = *stored;
+        this->known->node = this->identity.node;
+        return false;
+    }
+    const bool isSameIncarnation = stored->incarnation == this->known->incarnation && stored->id == this->known->id;
+    if (isSameIncarnation && isFinal(stored->state) && !isFinal(this->known->state)) {
+        this->known->state = stored->state;
+        return false;
+    }
+    const bool isStored = isSameIncarnation && stored->state == this->known->state && stored->slots == this->known->slots
+        && stored->version == this->known->version;
+    return !isStored;
+}
+
+bool LocalEndpoint::checkSilence(core::Duration patience, core::TimePoint now)
+{
+    const bool isSilent = this->known && this->known->state == EndpointState::Ready && now - this->heardAt > patience;
+    if (isSilent) {
+        this->known->state = EndpointState::Silent;
+    }
+    return isSilent;
+}
+
+bool LocalEndpoint::isOpen() const noexcept
+{
+    // Silence alone does not close it: heartbeats may be late while the endpoint serves.
+    const bool isAlive = this->known && !isFinal(this->known->state);
+    return isAlive && (this->isStoreRead || this->heartbeatsSinceStart >= heartbeatsWithoutStore);
+}
+
+const std::optional<EndpointRecord> &LocalEndpoint::record() const noexcept
+{
+    return this->known;
+}
+
+core::TimePoint LocalEndpoint::lastHeard() const noexcept
+{
+    return this->heardAt;
+}
+} // namespace figpulley::discovery
--- /dev/null
+++ b/src/gate/slotqueue.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "core/errorkind.h"
+#include "core/ids.h"
+#include "core/time.h"
+
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace figpulley::gate
+{
+/// A request that asks for a slot of the endpoint.
+struct QueuedRequest
+{
+    core::EntryId entry {};
+    int priority = 0; ///< 0 is the most urgent
+    bool isNested = false; ///< made by an endpoint while it runs another request
+    core::TimePoint arrived {};
+    core::TimePoint target {}; ///< an answer after it has less worth
+    core::TimePoint deadline {}; ///< an answer after it has none
+};
+
+/// What happens to one request.
+struct SlotDecision
+{
+    enum class Kind : std::uint8_t {
+        Run,
+        Wait,
+        Refuse,
+    };
+
+    core::EntryId entry {};
+    Kind kind = Kind::Refuse;
+    core::ErrorKind refusal = core::ErrorKind::None; ///< why it is refused
+    core::Duration retryAfter {}; ///< when room is expected, for a refused request
+};
+
+/// Gives out the slots of one endpoint: nested calls first, since a running request waits for them; then by priority, then in the order
+/// of arrival. A request that cannot be answered in time any more is refused at once and never run.
+class SlotQueue
+{
+public:
+    /// @param slots requests that the endpoint processes at once
+    void setSlots(int slots);
+
+    /// A request asks to run.
+    [[nodiscard]] SlotDecision offer(const QueuedRequest &request, core::TimePoint now);
+
+    /// A running request has ended.
+    /// @param runTime how long it ran; zero if that tells nothing
+    /// @returns requests that run or are refused now
+    [[nodiscard]] std::vector<SlotDecision> finish(core::Duration runTime, core::TimePoint now);
+
+    /// Refuses waiting requests that cannot be answered in time any more.
+    [[nodiscard]] std::vector<SlotDecision> expire(core::TimePoint now);
+
+    /// Removes a waiting request whose caller left.
+    /// @returns whether it was waiting
+    bool abandon(core::EntryId entry);
+
+    /// Refuses all that wait.
+    [[nodiscard]] std::vector<SlotDecision> clear(core::ErrorKind refusal);
+
+    [[nodiscard]] int running() const noexcept;
+    [[nodiscard]] int waiting() const noexcept;
+    [[nodiscard]] int slots() const noexcept;
+
+    /// Time that a request of a priority would wait now.
+    [[nodiscard]] core::Duration expectedWait(const QueuedRequest &request) const;
+
+private:
+    struct Key
+    {
+        int urgency = 0; // -1 for nested calls, then the priority
+        std::uint64_t sequence = 0;
+
+        [[nodiscard]] auto operator<=>(const Key &) const = default;
+    };
+
+    [[nodiscard]] core::Duration meanRun() const;
+    [[nodiscard]] SlotDecision refuse(const QueuedRequest &request, core::ErrorKind kind) const;
+
+    int slotCount = 1;
+    int runningCount = 0;
+    std::uint64_t nextSequence = 0;
+    double meanRunSeconds = 0;
+    std::map<Key, QueuedRequest> queue;
+    std::unordered_map<std::uint64_t, Key> keys;
+};
+} // namespace figpulley::gate
--- /dev/null
+++ b/src/mesh/collectionfollower.cpp
@@ -0,0 +1,141 @@
+#include "mesh/collectionfollower.h"
+
+#include "core/log.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include <fmt/format.h>
+
+namespace figpulley::mesh
+{
+namespace
+{
+using namespace std::chrono_literals;
+using core::ErrorKind;
+
+constexpr core::Duration watchWait = 8s; // each watch is a call that is paid for; a stuck one is found after it
+constexpr core::Duration shortestBackoff = 150ms;
+constexpr core::Duration longestBackoff = 800ms; // under half of the 2 s within which the node has caught up after an outage
+constexpr int mostDoublings = 4;
+} // namespace
+
+CollectionFollower::CollectionFollower(store::CollectionStore &store, std::string collection, CollectionListener listener, Scheduler later,
+                                       core::Random &random, core::Duration pause)
+    : store(store)
+    , collection(std::move(collection))
+    , listener(std::move(listener))
+    , later(std::move(later))
+    , random(random)
+    , pause(pause)
+{
+}
+
+void CollectionFollower::start()
+{
+    this->list({});
+}
+
+bool CollectionFollower::isReachable() const noexcept
+{
+    return this->isAnswering;
+}
+
+void CollectionFollower::list(const std::string &after)
+{
+    if (after.empty()) {
+        this->names.clear();
+        this->listRevision = 0;
+    }
+    this->store.list(this->collection, after, [weak = this->weak_from_this()](const store::CollectionItems &page) {
+        if (const auto self = weak.lock()) {
+            self->listed(page);
+        }
+    });
+}
+
+void CollectionFollower::listed(const store::CollectionItems &page)
+{
+    this->noteReachable(page.kind == ErrorKind::None);
+    if (page.kind != ErrorKind::None) {
+        this->retry([](CollectionFollower &self) { self.list({}); });
+        return;
+    }
+    // Changes made while further pages are read are seen by a watch from the first page's revision.
+    if (this->listRevision == 0) {
+        this->listRevision = page.revision;
+    }
+    for (const auto &item : page.items) {
+        this->names.insert(item.name);
+        this->listener.onItem(item);
+    }
+    if (page.hasMore && !page.items.empty()) {
+        this->list(page.items.back().name);
+        return;
+    }
+    this->listener.onListed(this->names, this->listRevision);
+    this->revision = this->listRevision;
+    this->watch();
+}
+
+void CollectionFollower::watch()
+{
+    this->store.watch(this->collection, this->revision, watchWait, [weak = this->weak_from_this()](const store::CollectionItems &changes) {
+        if (const auto self = weak.lock()) {
+            self->watched(changes);
+        }
+    });
+}
+
+void CollectionFollower::watched(const store::CollectionItems &changes)
+{
+    if (changes.kind == ErrorKind::HistoryGone) {
+        core::log(core::LogLevel::Info, "store.history_gone", {{"collection", this->collection}, {"revision", fmt::to_string(this->revision)}});
+        this->list({});
+        return;
+    }
+    this->noteReachable(changes.kind == ErrorKind::None);
+    if (changes.kind != ErrorKind::None) {
+        this->retry([](CollectionFollower &self) { self.watch(); });
+        return;
+    }
+    for (const auto &item : changes.items) {
+        this->listener.onItem(item);
+    }
+    this->revision = std::max(this->revision, changes.revision);
+    if (changes.items.empty() || this->pause.count() == 0) {
+        this->watch();
+        return;
+    }
+    this->later(this->pause, [weak = this->weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->watch();
+        }
+    });
+}
+
+void CollectionFollower::retry(std::function<void(CollectionFollower &)> step)
+{
+    const auto doublings = std::min(this->failures, mostDoublings);
+    this->failures = doublings + 1;
+    const auto backoff = std::min(longestBackoff, shortestBackoff * (1 << doublings));
+    const auto jittered = std::chrono::duration_cast<core::Duration>(backoff * (0.5 + 0.5 * core::uniform(this->random)));
+    this->later(jittered, [weak = this->weak_from_this(), step = std::move(step)] {
+        if (const auto self = weak.lock()) {
+            step(*self);
+        }
+    });
+}
+
+void CollectionFollower::noteReachable(bool isReachable)
+{
+    if (isReachable) {
+        this->failures = 0;
+    }
+    if (isReachable != this->isAnswering) {
+        core::log(isReachable ? core::LogLevel::Info : core::LogLevel::Warning, isReachable ? "store.regained" : "store.lost",
+                  {{"collection", this->collection}, {"revision", fmt::to_string(this->revision)}});
+    }
+    this->isAnswering = isReachable;
+}
+} // namespace figpulley::mesh
--- /dev/null
+++ b/src/mesh/collectionfollower.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "core/random.h"
+#include "core/time.h"
+#include "store/collectionstore.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+namespace figpulley::mesh
+{
+/// Receives what a collection holds.
+struct CollectionListener
+{
+    std::function<void(const store::CollectionItem &)> onItem; ///< an object was listed, has changed or was deleted
+    std::function<void(const std::unordered_set<std::string> &, std::uint64_t)> onListed; ///< names of a complete list, and its revision
+};
+
+/// Keeps up with one collection: lists it, then watches it, and lists it again when the store has discarded its history.
+class CollectionFollower : public std::enable_shared_from_this<CollectionFollower>
+{
+public:
+    using Scheduler = std::function<void(core::Duration, std::function<void()>)>;
+
+    /// @param pause after changes before the next watch, in which further changes gather
+    CollectionFollower(store::CollectionStore &store, std::string collection, CollectionListener listener, Scheduler later,
+                       core::Random &random, core::Duration pause);
+
+    void start();
+
+    /// Whether the last call was answered.
+    [[nodiscard]] bool isReachable() const noexcept;
+
+private:
+    void list(const std::string &after);
+    void listed(const store::CollectionItems &page);
+    void watch();
+    void watched(const store::CollectionItems &changes);
+    void retry(std::function<void(CollectionFollower &)> step);
+    void noteReachable(bool isReachable);
+
+    store::CollectionStore &store;
+    std::string collection;
+    CollectionListener listener;
+    Scheduler later;
+    core::Random &random;
+    core::Duration pause;
+    std::unordered_set<std::string> names;
+    std::uint64_t listRevision = 0;
+    std::uint64_t revision = 0;
+    int failures = 0;
+    bool isAnswering = true;
+};
+} // namespace figpulley::mesh
--- /dev/null
+++ b/src/mesh/controlface.cpp
@@ -0,0 +1,95 @@
+#include "mesh/controlface.h"
+
+#include "core/log.h"
+#include "mesh/meshboard.h"
+#include "mesh/meshsettings.h"
+#include "mesh/wireformat.h"
+
+#include <nlohmann/json.hpp>
+
+namespace figpulley::mesh
+{
+namespace
+{
+constexpr int httpOk = 200;
+constexpr int httpBadRequest = 400;
+constexpr int httpNotFound = 404;
+constexpr int httpServiceUnavailable = 503;
+
+net::HttpAnswer statusOnly(int status)
+{
+    return {status, {{"Content-Type", "application/json"}}, "{}"};
+}
+} // namespace
+
+ControlFace::ControlFace(MeshContext context, LocalRecorder &recorder, std::function<bool()> isReady)
+    : context(context)
+    , recorder(recorder)
+    , isReady(std::move(isReady))
+{
+    const auto serve = [this](const std::shared_ptr<net::HttpExchange> &exchange) { this->accept(exchange); };
+    this->control = std::make_unique<net::HttpServer>(context.loop, context.settings.control, serve);
+    this->readiness = std::make_unique<net::HttpServer>(context.loop, context.settings.readiness, serve);
+    this->metrics = std::make_unique<net::HttpServer>(
+        context.loop, context.settings.metrics,
+        [this](const std::shared_ptr<net::HttpExchange> &exchange) { this->acceptReading(exchange); });
+}
+
+ControlFace::~ControlFace() = default;
+
+void ControlFace::accept(const std::shared_ptr<net::HttpExchange> &exchange)
+{
+    const auto call = this->context.wire.readControl(exchange->request());
+    if (std::holds_alternative<ReadinessCall>(call)) {
+        exchange->answer(statusOnly(this->isReady() ? httpOk : httpServiceUnavailable));
+        return;
+    }
+    const auto answer = [exchange](int status) { exchange->answer(statusOnly(status)); };
+    if (const auto *announcement = std::get_if<discovery::Announcement>(&call)) {
+        this->recorder.hear(*announcement, answer);
+    } else if (const auto *departure = std::get_if<discovery::Departure>(&call)) {
+        this->recorder.leave(*departure, answer);
+    } else {
+        core::log(core::LogLevel::Warning, "control.malformed",
+                  {{"path", exchange->request().path}, {"reason", std::get<MalformedCall>(call).reason}});
+        answer(httpBadRequest);
+    }
+}
+
+void ControlFace::acceptReading(const std::shared_ptr<net::HttpExchange> &exchange)
+{
+    const auto &path = exchange->request().path;
+    if (path == "/metrics") {
+        exchange->answer({httpOk, {{"Content-Type", "text/plain; version=0.0.4"}}, this->context.metrics.exposition()});
+    } else if (path == "/status") {
+        exchange->answer({httpOk, {{"Content-Type", "application/json"}}, this->statusJson()});
+    } else {
+        exchange->answer(statusOnly(httpNotFound));
+    }
+}
+
+std::string ControlFace::statusJson() const
+{
+    const auto &board = this->context.board;
+    const auto &config = board.config.read();
+    const auto &local = board.local.read();
+    nlohmann::json status {
+        {"name", this->context.settings.name},
+        {"availability_zone", this->context.settings.availabilityZone},
+        {"service", this->context.settings.service},
+        {"ready", this->isReady()},
+        {"stopping", board.lifecycle.read().isStopping},
+        {"config_version", config.table ? config.table->version() : 0},
+        {"endpoints_known", board.directory.read().size()},
+    };
+    if (local.record()) {
+        status["endpoint"] = {
+            {"id", local.record()->id},
+            {"state", discovery::name(local.record()->state)},
+            {"open", local.isOpen()},
+            {"slots", local.record()->slots},
+        };
+    }
+    return status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+} // namespace figpulley::mesh
--- /dev/null
+++ b/src/mesh/keepers.cpp
@@ -0,0 +1,106 @@
+#include "mesh/keepers.h"
+
+#include "core/log.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace figpulley::mesh
+{
+namespace
+{
+// Names of objects stand in paths, where a colon is best avoided.
+constexpr char portSeparator = '-';
+} // namespace
+
+std::string recordName(std::string_view node)
+{
+    std::string name(node);
+    std::replace(name.begin(), name.end(), ':', portSeparator);
+    return name;
+}
+
+std::string nodeOfRecord(std::string_view name)
+{
+    std::string node(name);
+    std::replace(node.begin(), node.end(), portSeparator, ':');
+    return node;
+}
+
+ConfigKeeper::ConfigKeeper(MeshBoard &board, const WireFormat &wire)
+    : board(board)
+    , wire(wire)
+{
+}
+
+std::uint64_t ConfigKeeper::version() const noexcept
+{
+    const auto &table = this->board.config.read().table;
+    return table ? table->version() : 0;
+}
+
+bool ConfigKeeper::offer(std::string_view text, std::string_view origin, core::TimePoint now)
+{
+    std::string reason;
+    auto routes = this->wire.readRoutes(text, reason);
+    if (!routes) {
+        core::log(core::LogLevel::Error, "config.refused", {{"origin", std::string(origin)}, {"reason", reason}});
+        return false;
+    }
+    const auto known = this->version();
+    if (routes->version <= known) {
+        return routes->version == known;
+    }
+    auto &config = this->board.config.write();
+    config.table = std::make_shared<const routing::RouteTable>(std::move(*routes));
+    config.source = std::string(text);
+    config.since = now;
+    core::log(core::LogLevel::Info, "config.in_force",
+              {{"version", fmt::to_string(this->version())},
+               {"earlier", fmt::to_string(known)},
+               {"origin", std::string(origin)},
+               {"routes", fmt::to_string(config.table->routes().routes.size())}});
+    return true;
+}
+
+DirectoryKeeper::DirectoryKeeper(MeshBoard &board)
+    : board(board)
+{
+}
+
+void DirectoryKeeper::put(const std::string &name, std::string_view text, std::uint64_t revision, core::TimePoint now)
+{
+    const auto record = discovery::decodeEndpointRecord(text);
+    if (!record || record->node != nodeOfRecord(name)) {
+        core::log(core::LogLevel::Warning, "endpoint.unreadable", {{"name", name}, {"revision", fmt::to_string(revision)}});
+        this->remove(name, revision);
+        return;
+    }
+    if (this->board.directory.write().put(*record, revision, now)) {
+        core::log(core::LogLevel::Info, "endpoint.known",
+                  {{"node", record->node},
+                   {"endpoint", record->id},
+                   {"service", record->service},
+                   {"state", std::string(discovery::name(record->state))},
+                   {"revision", fmt::to_string(revision)}});
+    }
+}
+
+void DirectoryKeeper::remove(const std::string &name, std::uint64_t revision)
+{
+    const auto node = nodeOfRecord(name);
+    if (this->board.directory.write().remove(node, revision)) {
+        core::log(core::LogLevel::Info, "endpoint.forgotten", {{"node", node}, {"revision", fmt::to_string(revision)}});
+    }
+}
+
+void DirectoryKeeper::retain(const std::unordered_set<std::string> &names, std::uint64_t revision)
+{
+    std::unordered_set<std::string> nodes;
+    for (const auto &name : names) {
+        nodes.insert(nodeOfRecord(name));
+    }
+    this->board.directory.write().retain(nodes, revision);
+}
+} // namespace figpulley::mesh
--- /dev/null
+++ b/src/mesh/meshcontext.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "core/random.h"
+#include "mesh/fwd.h"
+#include "net/eventloop.h"
+#include "net/httpclient.h"
+#include "node/nodemetrics.h"
+#include "store/collectionstore.h"
+
+namespace figpulley::mesh
+{
+/// What the parts of one mesh node share; all outlive them.
+struct MeshContext
+{
+    net::EventLoop &loop;
+    net::HttpClient &client;
+    const MeshSettings &settings;
+    const WireFormat &wire;
+    store::CollectionStore &store;
+    MeshBoard &board;
+    core::Random &random;
+    node::NodeMetrics &metrics;
+};
+} // namespace figpulley::mesh
--- /dev/null
+++ b/src/mesh/meshnode.cpp
@@ -0,0 +1,136 @@
+#include "mesh/meshnode.h"
+
+#include "core/log.h"
+#include "mesh/wireformat.h"
+
+#include <chrono>
+#include <random>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace figpulley::mesh
+{
+namespace
+{
+using namespace std::chrono_literals;
+
+constexpr core::Duration stopCheck = 50ms;
+constexpr core::Duration shortestStop = 3s; // clients are still sent here until two readiness checks a second apart have failed
+constexpr core::Duration quietBeforeEnd = 300ms;
+constexpr core::Duration graceMargin = 300ms; // the process ends before it is killed
+constexpr core::Duration endpointsPause = 150ms; // changes of endpoints come in series; the gates are exact meanwhile
+
+std::uint64_t systemSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+} // namespace
+
+MeshNode::MeshNode(net::EventLoop &loop, net::HttpClient &client, MeshSettings nodeSettings, const WireFormat &wire,
+                   store::CollectionStore &store)
+    : loop(loop)
+    , settings(std::move(nodeSettings))
+    , wire(wire)
+    , random(systemSeed())
+    , context {loop, client, this->settings, wire, store, this->blackboard, this->random, this->metrics}
+    , config(this->blackboard, wire)
+    , directory(this->blackboard)
+    , snapshots(this->context, this->config, this->directory)
+{
+    this->recorder = std::make_shared<LocalRecorder>(this->context, [this] {
+        if (this->gate) {
+            this->gate->closeGate();
+        }
+    });
+    this->gate = std::make_unique<GateFace>(this->context, this->snapshots);
+    this->outbound = std::make_unique<OutboundFace>(this->context, this->snapshots);
+    this->control = std::make_unique<ControlFace>(this->context, *this->recorder, [this] { return this->isReady(); });
+}
+
+MeshNode::~MeshNode() = default;
+
+std::shared_ptr<CollectionFollower> MeshNode::follow(const std::string &collection, CollectionListener listener, core::Duration pause)
+{
+    auto &eventLoop = this->loop;
+    const auto later = [&eventLoop](core::Duration delay, std::function<void()> callback) { eventLoop.after(delay, std::move(callback)); };
+    auto follower =
+        std::make_shared<CollectionFollower>(this->context.store, collection, std::move(listener), later, this->random, pause);
+    follower->start();
+    return follower;
+}
+
+void MeshNode::start()
+{
+    CollectionListener routes;
+    routes.onItem = [this](const store::CollectionItem &item) {
+        if (item.name == this->wire.routesName() && !item.isDeleted) {
+            this->config.offer(item.content, "store", core::steadyNow());
+        }
+    };
+    routes.onListed = [](const std::unordered_set<std::string> &, std::uint64_t) {};
+    this->routesFollower = this->follow(this->wire.routesCollection(), std::move(routes), core::Duration {});
+
+    CollectionListener endpoints;
+    endpoints.onItem = [this](const store::CollectionItem &item) {
+        if (item.isDeleted) {
+            this->directory.remove(item.name, item.revision);
+        } else {
+            this->directory.put(item.name, item.content, item.revision, core::steadyNow());
+        }
+    };
+    endpoints.onListed = [this](const std::unordered_set<std::string> &names, std::uint64_t revision) {
+        this->directory.retain(names, revision);
+    };
+    this->endpointsFollower = this->follow(LocalRecorder::collection, std::move(endpoints), endpointsPause);
+    this->recorder->start();
+    core::log(core::LogLevel::Info, "node.started",
+              {{"name", this->settings.name},
+               {"zone", this->settings.availabilityZone},
+               {"service", this->settings.service},
+               {"entrance", this->settings.entrance.toString()},
+               {"ingress", this->settings.ingress.toString()},
+               {"store", this->settings.store.toString()}});
+}
+
+bool MeshNode::isReady() const noexcept
+{
+    return this->blackboard.config.read().table != nullptr && !this->blackboard.lifecycle.read().isStopping;
+}
+
+const MeshBoard &MeshNode::board() const noexcept
+{
+    return this->blackboard;
+}
+
+std::size_t MeshNode::inFlight() const noexcept
+{
+    return this->outbound->inFlight() + this->gate->inFlight();
+}
+
+void MeshNode::stop(std::function<void(std::size_t)> callback)
+{
+    if (this->onStopped) {
+        return;
+    }
+    this->onStopped = std::move(callback);
+    auto &lifecycle = this->blackboard.lifecycle.write();
+    lifecycle.isStopping = true;
+    lifecycle.stopRequestedAt = core::steadyNow();
+    core::log(core::LogLevel::Info, "node.stopping", {{"in_flight", fmt::to_string(this->inFlight())}});
+    this->checkStop();
+}
+
+void MeshNode::checkStop()
+{
+    const auto now = core::steadyNow();
+    const auto elapsed = now - this->blackboard.lifecycle.read().stopRequestedAt;
+    const bool isQuiet = this->inFlight() == 0 && now - this->outbound->lastArrival() > quietBeforeEnd;
+    if ((elapsed > shortestStop && isQuiet) || elapsed > this->settings.grace - graceMargin) {
+        std::exchange(this->onStopped, nullptr)(this->inFlight());
+        return;
+    }
+    this->loop.after(stopCheck, [this] { this->checkStop(); });
+}
+} // namespace figpulley::mesh
--- /dev/null
+++ b/src/mesh/meshsettings.cpp
@@ -0,0 +1,91 @@
+#include "mesh/meshsettings.h"
+
+#include "text/objectreader.h"
+#include "text/parse.h"
+
+#include <array>
+#include <chrono>
+
+#include <fmt/format.h>
+
+namespace figpulley::mesh
+{
+namespace
+{
+using text::KeySpec;
+using text::KeyType;
+
+constexpr std::array keys {
+    KeySpec {"name", KeyType::String, "", 1, 64, "name of this VM, for logs"},
+    KeySpec {"availability_zone", KeyType::String, "", 1, 64, "availability zone of this VM"},
+    KeySpec {"service", KeyType::String, "", 1, 64, "service of the endpoint on this VM"},
+    KeySpec {"entrance", KeyType::String, "", 9, 21, "ip:port for requests of clients and of the endpoint on this VM"},
+    KeySpec {"ingress", KeyType::String, "", 9, 21, "ip:port for attempts of other nodes"},
+    KeySpec {"control", KeyType::String, "", 9, 21, "ip:port for the endpoint's heartbeats"},
+    KeySpec {"readiness", KeyType::String, "", 9, 21, "ip:port that tells whether the node takes clients"},
+    KeySpec {"metrics", KeyType::String, "", 9, 21, "ip:port for metrics and status"},
+    KeySpec {"upstream", KeyType::String, "", 9, 21, "ip:port of the endpoint on this VM"},
+    KeySpec {"store", KeyType::String, "", 9, 21, "ip:port of the platform's object store"},
+    KeySpec {"heartbeat_interval_s", KeyType::Number, "1.5", 0.05, 60, "seconds between two heartbeats of the endpoint"},
+    KeySpec {"grace_s", KeyType::Number, "6", 1, 600, "seconds between SIGTERM and the end of the process"},
+    KeySpec {"retry_ratio", KeyType::Number, "0.2", 0, 1, "repeats per request that all nodes together may add to a service"},
+    KeySpec {"retry_slack", KeyType::Number, "48", 0, 100000, "repeats per window that all nodes together may add besides"},
+    KeySpec {"retry_window_s", KeyType::Number, "10", 0.1, 600, "seconds over which repeats are counted"},
+    KeySpec {"log_level", KeyType::String, "\"info\"", 3, 8, "debug, info, warning, error or off"},
+};
+
+const text::SectionSpec section {"mesh settings", "What the process of a mesh node is told at start.", keys};
+
+net::Address address(const text::ObjectReader &reader, std::string_view key)
+{
+    const auto parsed = net::parseAddress(reader.string(key));
+    if (!parsed && reader.find(key) != nullptr) {
+        reader.report(key, fmt::format("\"{}\" must be ip:port, such as 127.0.0.1:7001", key));
+    }
+    return parsed.value_or(net::Address {});
+}
+
+core::Duration seconds(const text::ObjectReader &reader, std::string_view key)
+{
+    return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(reader.number(key)));
+}
+} // namespace
+
+const text::SectionSpec &meshSettingsSection() noexcept
+{
+    return section;
+}
+
+std::optional<MeshSettings> readMeshSettings(const std::string &file, std::string_view source, text::Problems &problems)
+{
+    const auto root = text::parse(file, source, problems);
+    if (!root) {
+        return std::nullopt;
+    }
+    const text::ObjectReader reader(file, *root, section, problems);
+    MeshSettings settings;
+    settings.name = reader.string("name");
+    settings.availabilityZone = reader.string("availability_zone");
+    settings.service = reader.string("service");
+    settings.entrance = address(reader, "entrance");
+    settings.ingress = address(reader, "ingress");
+    settings.control = address(reader, "control");
+    settings.readiness = address(reader, "readiness");
+    settings.metrics = address(reader, "metrics");
+    settings.upstream = address(reader, "upstream");
+    settings.store = address(reader, "store");
+    settings.heartbeatInterval = seconds(reader, "heartbeat_interval_s");
+    settings.grace = seconds(reader, "grace_s");
+    settings.retryBudget = {reader.number("retry_ratio"), reader.number("retry_slack"), seconds(reader, "retry_window_s")};
+    const auto level = core::logLevelFromName(reader.string("log_level"));
+    if (level) {
+        settings.logLevel = *level;
+    } else {
+        reader.report("log_level", "\"log_level\" must be debug, info, warning, error or off");
+    }
+    if (text::hasErrors(problems)) {
+        return std::nullopt;
+    }
+    return settings;
+}
+} // namespace figpulley::mesh
--- /dev/null
+++ b/src/mesh/outboundface.cpp
@@ -0,0 +1,370 @@
+#include "mesh/outboundface.h"
+
+#include "core/log.h"
+#include "mesh/meshboard.h"
+#include "mesh/meshsettings.h"
+#include "mesh/wireformat.h"
+#include "node/answerrelay.h"
+#include "node/headernames.h"
+#include "node/ownanswer.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include <fmt/format.h>
+
+namespace figpulley::mesh
+{
+namespace
+{
+using namespace std::chrono_literals;
+using core::ErrorKind;
+using core::Ran;
+using routing::AttemptEnd;
+
+constexpr core::Duration assumedPatience = 10s; // of a client that does not tell its deadline
+constexpr core::Duration peerConnectTimeout = 300ms; // a hundred times the way between zones
+constexpr core::Duration peerSilence = 2s; // a peer that acknowledges nothing is cut off or has lost its power
+constexpr core::Duration shortestUsefulTime = 2ms;
+constexpr core::Duration stopRefusalAfter = 3s; // two readiness checks a second apart have failed by then
+constexpr core::Duration noEndpointRetryAfter = 300ms;
+constexpr int mostHops = 4; // nodes that are asked for one request, refusals included
+constexpr int httpInternalError = 500;
+constexpr std::size_t largestRequestBody = 64UL << 20U;
+
+AttemptEnd endOf(ErrorKind kind)
+{
+    switch (kind) {
+    case ErrorKind::None:
+        return AttemptEnd::Served;
+    case ErrorKind::Overloaded:
+    case ErrorKind::QueueTimeout:
+    case ErrorKind::DeadlineExpired:
+        return AttemptEnd::Full;
+    case ErrorKind::NotServing:
+    case ErrorKind::Stopping:
+        return AttemptEnd::Leaving;
+    case ErrorKind::ConnectFailed:
+        return AttemptEnd::Unreachable;
+    case ErrorKind::Cancelled:
+        return AttemptEnd::Cancelled;
+    default:
+        return AttemptEnd::Failed;
+    }
+}
+} // namespace
+
+/// One request of a client and its attempts.
+class OutboundFace::Call : public std::enable_shared_from_this<OutboundFace::Call>
+{
+public:
+    Call(OutboundFace &face, std::shared_ptr<net::HttpExchange> exchange)
+        : face(face)
+        , exchange(std::move(exchange))
+        , arrived(core::steadyNow())
+    {
+        ++this->face.callsInFlight;
+    }
+
+    ~Call()
+    {
+        --this->face.callsInFlight;
+    }
+
+    Call(const Call &) = delete;
+    Call &operator=(const Call &) = delete;
+
+    void start()
+    {
+        auto &context = this->face.context;
+        const auto &request = this->exchange->request();
+        const auto head = context.wire.readClient(request.headers);
+        this->requestId = head.requestId;
+        const auto &lifecycle = context.board.lifecycle.read();
+        if (lifecycle.isStopping && this->arrived - lifecycle.stopRequestedAt > stopRefusalAfter) {
+            this->refuse(ErrorKind::Stopping, noEndpointRetryAfter);
+            return;
+        }
+        this->table = context.board.config.read().table;
+        if (!this->table) {
+            this->refuse(ErrorKind::ConfigurationMissing, noEndpointRetryAfter);
+            return;
+        }
+        this->route = this->table->match(net::findHeader(request.headers, "Host"), request.path);
+        if (this->route == nullptr) {
+            this->refuse(ErrorKind::NoRoute, {});
+            return;
+        }
+        this->service = this->face.splits.pick(*this->route, context.random);
+        this->isNested = this->exchange->peerIp() == this->face.ownIp;
+        this->face.retryBudget.countRequest(this->service, this->arrived);
+        this->deadline = this->arrived + std::min(head.patience.value_or(assumedPatience), this->route->timeout);
+        this->target = this->arrived + this->route->objective;
+        this->exchange->onCancelled([weak = this->weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->callerLeft();
+            }
+        });
+        this->timer = context.loop.after(this->deadline - this->arrived, [weak = this->weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->timer = net::EventLoop::noTimer;
+                self->timedOut();
+            }
+        });
+        this->attempt();
+    }
+
+private:
+    void attempt()
+    {
+        auto &context = this->face.context;
+        const auto now = core::steadyNow();
+        if (this->deadline - now < shortestUsefulTime) {
+            this->giveUp(ErrorKind::QueueTimeout, noEndpointRetryAfter);
+            return;
+        }
+        const auto &directory = context.board.directory.read();
+        const routing::PickRequest wanted {this->service, context.settings.availabilityZone, &this->tried, now};
+        const auto *endpoint = this->face.picker.pick(directory, wanted, context.random);
+        if (endpoint == nullptr) {
+            this->giveUp(this->tried.empty() ? ErrorKind::NoEndpoint : this->lastRefusal, this->lastRetryAfter);
+            return;
+        }
+        this->node = endpoint->record.node;
+        this->tried.push_back(this->node);
+        this->sentAt = now;
+        AttemptHead head;
+        head.endpointId = endpoint->record.id;
+        head.service = this->service;
+        head.originService = context.settings.service;
+        head.originNode = context.settings.ingress.toString();
+        head.priority = this->route->priority;
+        head.isIdempotent = this->route->isIdempotent();
+        head.isNested = this->isNested;
+        head.remaining = this->deadline - now;
+        head.objectiveLeft = this->target - now;
+        head.configVersion = this->table->version();
+        this->send(head);
+    }
+
+    void send(const AttemptHead &head)
+    {
+        auto &context = this->face.context;
+        const auto &incoming = this->exchange->request();
+        net::ClientRequest request;
+        request.method = incoming.method;
+        request.url = fmt::format("http://{}{}{}", this->node, incoming.path, incoming.query);
+        request.body = incoming.body;
+        request.timeout = head.remaining + 1s; // the call's own timer ends it sooner
+        request.connectTimeout = std::min(peerConnectTimeout, head.remaining);
+        request.mayResend = false;
+        request.silence = peerSilence;
+        for (const auto &header : incoming.headers) {
+            if (node::isPassedOn(header.name)) {
+                request.headers.push_back(header);
+            }
+        }
+        request.headers.push_back({std::string(node::callHeader), encode(head)});
+        node::AnswerRelay::Callbacks callbacks;
+        callbacks.onCommit = [self = this->shared_from_this()](const net::ClientAnswerHead &) { return self->commit(); };
+        callbacks.onDone = [self = this->shared_from_this()](const net::ClientResult &result) { self->ended(result); };
+        this->relay = std::make_shared<node::AnswerRelay>(context.loop, context.client, this->exchange, std::move(callbacks));
+        this->face.picker.sent(this->node);
+        this->isSent = true;
+        context.metrics.countAttempt(this->service, this->tried.size() > 1);
+        this->relay->start(request);
+    }
+
+    bool commit()
+    {
+        const auto report = this->readReport();
+        this->relay->passStream(this->ownHeaders());
+        this->answered(report ? report->kind : ErrorKind::None, this->relay->head().status);
+        return true;
+    }
+
+    [[nodiscard]] std::optional<AttemptReport> readReport() const
+    {
+        return decodeAttemptReport(net::findHeader(this->relay->head().headers, node::outcomeHeader));
+    }
+
+    [[nodiscard]] net::Headers ownHeaders() const
+    {
+        if (this->face.context.board.lifecycle.read().isStopping) {
+            return {{"Connection", "close"}};
+        }
+        return {};
+    }
+
+    void ended(const net::ClientResult &result)
+    {
+        this->isSent = false;
+        const auto now = core::steadyNow();
+        const auto report = result.kind == ErrorKind::None ? this->readReport() : std::nullopt;
+        // An answer without a report was made by neither the endpoint nor a node that knows this protocol.
+        const auto kind = report ? report->kind : (result.kind == ErrorKind::None ? ErrorKind::AnswerLost : result.kind);
+        const bool isEndpointFault = kind == ErrorKind::None && this->relay->head().status >= httpInternalError;
+        const auto load = report ? std::optional(report->load) : std::nullopt;
+        this->face.picker.ended(this->node, isEndpointFault ? AttemptEnd::Failed : endOf(kind), load, now);
+        if (report) {
+            this->face.snapshots.peerHas(this->node, report->configVersion);
+        }
+        if (this->relay->isStreaming()) {
+            return;
+        }
+        if (kind == ErrorKind::None) {
+            const auto status = this->relay->head().status;
+            this->relay->passHeld(this->ownHeaders());
+            this->answered(ErrorKind::None, status);
+            return;
+        }
+        const auto ran = report ? report->ran : core::answerFor(kind).ran;
+        this->retryOrGiveUp(kind, ran, report ? report->retryAfter : noEndpointRetryAfter, result.detail);
+    }
+
+    void retryOrGiveUp(ErrorKind kind, Ran ran, core::Duration retryAfter, const std::string &detail)
+    {
+        const auto now = core::steadyNow();
+        core::log(core::LogLevel::Debug, "call.attempt_ended",
+                  {{"id", this->requestId}, {"node", this->node}, {"kind", std::string(core::answerFor(kind).name)}, {"detail", detail}});
+        this->lastRefusal = kind;
+        this->lastRetryAfter = retryAfter;
+        if (ran != Ran::No) {
+            this->mayHaveRun = true;
+            ++this->runs;
+        }
+        const bool isAllowed = ran == Ran::No || (this->route->isIdempotent() && this->runs < this->route->mostAttempts);
+        const bool hasTime = this->deadline - now > shortestUsefulTime && static_cast<int>(this->tried.size()) < mostHops;
+        const bool isPaid = isAllowed && hasTime
+            && (ran == Ran::No || this->face.retryBudget.take(this->service, this->face.context.board.directory.read().size(), now));
+        if (!isPaid) {
+            this->giveUp(kind, retryAfter);
+            return;
+        }
+        this->attempt();
+    }
+
+    void timedOut()
+    {
+        const auto keepAlive = this->shared_from_this();
+        if (this->relay && this->relay->isStreaming()) {
+            this->relay->cancel();
+            return;
+        }
+        // What was sent may have run.
+        this->mayHaveRun = this->mayHaveRun || this->isSent;
+        this->cancelAttempt();
+        this->giveUp(ErrorKind::QueueTimeout, noEndpointRetryAfter);
+    }
+
+    void callerLeft()
+    {
+        const auto keepAlive = this->shared_from_this();
+        this->cancelAttempt();
+        this->answered(ErrorKind::Cancelled, 0);
+    }
+
+    void cancelAttempt()
+    {
+        if (this->isSent) {
+            this->isSent = false;
+            this->face.picker.ended(this->node, AttemptEnd::Cancelled, std::nullopt, core::steadyNow());
+            this->relay->cancel();
+        }
+    }
+
+    // A refusal promises that the request has not run, which an earlier attempt may have broken.
+    void giveUp(ErrorKind kind, core::Duration retryAfter)
+    {
+        if (this->mayHaveRun && core::answerFor(kind).ran == Ran::No) {
+            kind = ErrorKind::DeadlineUnknown;
+        }
+        this->refuse(kind, retryAfter);
+    }
+
+    void refuse(ErrorKind kind, core::Duration retryAfter)
+    {
+        core::CallOutcome outcome;
+        outcome.kind = kind;
+        outcome.ran = this->mayHaveRun ? Ran::Unknown : core::answerFor(kind).ran;
+        auto answer = node::ownAnswer(outcome, std::max(retryAfter, core::Duration(1ms)));
+        for (auto &header : this->ownHeaders()) {
+            answer.headers.push_back(std::move(header));
+        }
+        const auto status = answer.status;
+        this->exchange->answer(std::move(answer));
+        core::log(core::LogLevel::Info, "call.refused",
+                  {{"id", this->requestId},
+                   {"route", this->route != nullptr ? this->route->name : std::string()},
+                   {"service", this->service},
+                   {"kind", std::string(core::answerFor(kind).name)},
+                   {"ran", std::string(core::name(outcome.ran))},
+                   {"status", fmt::to_string(status)},
+                   {"attempts", fmt::to_string(this->tried.size())},
+                   {"last_node", this->node},
+                   {"after_ms", fmt::to_string(core::toMilliseconds(core::steadyNow() - this->arrived))},
+                   {"retry_after_ms", fmt::to_string(core::toMilliseconds(retryAfter))},
+                   {"config_version", fmt::to_string(this->table ? this->table->version() : 0)}});
+        this->answered(kind, status);
+    }
+
+    void answered(ErrorKind kind, int status)
+    {
+        this->face.context.loop.cancel(this->timer);
+        this->timer = net::EventLoop::noTimer;
+        const auto routeName = this->route != nullptr ? this->route->name : std::string();
+        const auto priority = this->route != nullptr ? fmt::to_string(this->route->priority) : std::string();
+        this->face.context.metrics.countCall(this->service, routeName, priority, kind, status, core::steadyNow() - this->arrived);
+    }
+
+    OutboundFace &face;
+    std::shared_ptr<net::HttpExchange> exchange;
+    std::shared_ptr<node::AnswerRelay> relay;
+    routing::RouteTablePtr table; // keeps the route alive
+    const routing::Route *route = nullptr;
+    std::string requestId;
+    std::string service;
+    std::string node; // of the latest attempt
+    std::vector<std::string> tried;
+    core::TimePoint arrived;
+    core::TimePoint deadline {};
+    core::TimePoint target {};
+    core::TimePoint sentAt {};
+    core::Duration lastRetryAfter = noEndpointRetryAfter;
+    ErrorKind lastRefusal = ErrorKind::NoEndpoint;
+    net::EventLoop::TimerId timer = net::EventLoop::noTimer;
+    int runs = 0; // attempts that may have run
+    bool mayHaveRun = false;
+    bool isSent = false;
+    bool isNested = false;
+};
+
+OutboundFace::OutboundFace(MeshContext context, SnapshotExchange &snapshots)
+    : context(context)
+    , snapshots(snapshots)
+    , retryBudget(context.settings.retryBudget)
+    , ownIp(context.settings.entrance.ip)
+{
+    this->server = std::make_unique<net::HttpServer>(
+        context.loop, context.settings.entrance, [this](std::shared_ptr<net::HttpExchange> exchange) { this->accept(std::move(exchange)); },
+        net::HttpServerLimits {.bodyBytes = largestRequestBody});
+}
+
+OutboundFace::~OutboundFace() = default;
+
+std::size_t OutboundFace::inFlight() const noexcept
+{
+    return this->callsInFlight;
+}
+
+core::TimePoint OutboundFace::lastArrival() const noexcept
+{
+    return this->arrivedLast;
+}
+
+void OutboundFace::accept(std::shared_ptr<net::HttpExchange> exchange)
+{
+    this->arrivedLast = core::steadyNow();
+    std::make_shared<Call>(*this, std::move(exchange))->start();
+}
+} // namespace figpulley::mesh
--- /dev/null
+++ b/src/mesh/outboundface.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "mesh/attempthead.h"
+#include "mesh/meshcontext.h"
+#include "mesh/snapshotexchange.h"
+#include "net/httpserver.h"
+#include "routing/endpointpicker.h"
+#include "routing/retrybudget.h"
+#include "routing/splitpicker.h"
+
+#include <memory>
+
+namespace figpulley::mesh
+{
+/// Takes requests of the clients and of the endpoint on this VM and sends them to nodes beside endpoints.
+class OutboundFace
+{
+public:
+    OutboundFace(MeshContext context, SnapshotExchange &snapshots);
+    ~OutboundFace();
+    OutboundFace(const OutboundFace &) = delete;
+    OutboundFace &operator=(const OutboundFace &) = delete;
+
+    /// Requests that are not answered yet.
+    [[nodiscard]] std::size_t inFlight() const noexcept;
+
+    /// When the last request arrived.
+    [[nodiscard]] core::TimePoint lastArrival() const noexcept;
+
+private:
+    class Call;
+
+    void accept(std::shared_ptr<net::HttpExchange> exchange);
+
+    MeshContext context;
+    SnapshotExchange &snapshots;
+    routing::EndpointPicker picker;
+    routing::RetryBudget retryBudget;
+    routing::SplitPicker splits;
+    std::size_t callsInFlight = 0;
+    core::TimePoint arrivedLast {};
+    std::string ownIp;
+    std::unique_ptr<net::HttpServer> server;
+};
+} // namespace figpulley::mesh
--- /dev/null
+++ b/src/mesh/snapshotexchange.cpp
@@ -0,0 +1,76 @@
+#include "mesh/snapshotexchange.h"
+
+#include "core/log.h"
+#include "mesh/meshboard.h"
+
+#include <chrono>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace figpulley::mesh
+{
+namespace
+{
+using namespace std::chrono_literals;
+
+constexpr core::Duration fetchTimeout = 500ms; // shorter than the time in which a change has to be in force
+constexpr std::size_t largestSnapshot = 8UL << 20U;
+constexpr int httpOk = 200;
+} // namespace
+
+SnapshotExchange::SnapshotExchange(MeshContext context, ConfigKeeper &config, DirectoryKeeper &directory)
+    : context(context)
+    , config(config)
+    , directory(directory)
+{
+}
+
+void SnapshotExchange::peerHas(const std::string &node, std::uint64_t version)
+{
+    if (version <= this->config.version() || this->isFetching) {
+        return;
+    }
+    this->isFetching = true;
+    net::ClientRequest request;
+    request.url = fmt::format("http://{}/", node);
+    request.headers.push_back({header, "1"});
+    request.timeout = fetchTimeout;
+    this->context.client.fetch(request, largestSnapshot, [this, node](const net::ClientAnswer &answer) {
+        this->isFetching = false;
+        this->received(node, answer);
+    });
+}
+
+std::string SnapshotExchange::snapshot() const
+{
+    auto endpoints = nlohmann::json::array();
+    for (const auto *known : this->context.board.directory.read().all()) {
+        endpoints.push_back({{"revision", known->revision}, {"record", discovery::encode(known->record)}});
+    }
+    return nlohmann::json {{"config", this->context.board.config.read().source}, {"endpoints", std::move(endpoints)}}.dump(
+        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void SnapshotExchange::received(const std::string &node, const net::ClientAnswer &answer)
+{
+    if (answer.result.kind != core::ErrorKind::None || answer.head.status != httpOk) {
+        core::log(core::LogLevel::Warning, "snapshot.failed",
+                  {{"node", node}, {"kind", std::string(core::answerFor(answer.result.kind).name)}});
+        return;
+    }
+    const auto now = core::steadyNow();
+    try {
+        const auto object = nlohmann::json::parse(answer.body);
+        this->config.offer(object.at("config").get<std::string>(), node, now);
+        for (const auto &entry : object.at("endpoints")) {
+            const auto text = entry.at("record").get<std::string>();
+            if (const auto record = discovery::decodeEndpointRecord(text)) {
+                this->directory.put(recordName(record->node), text, entry.at("revision").get<std::uint64_t>(), now);
+            }
+        }
+    } catch (const nlohmann::json::exception &error) {
+        core::log(core::LogLevel::Warning, "snapshot.unreadable", {{"node", node}, {"reason", error.what()}});
+    }
+}
+} // namespace figpulley::mesh
--- a/src/node/answerrelay.cpp
+++ b/src/node/answerrelay.cpp
@@ -15,6 +15,7 @@
 void AnswerRelay::start(const net::ClientRequest &request)
 {
     net::ClientCallbacks transferCallbacks;
+    transferCallbacks.isAcceptable = this->callbacks.isAcceptable;
     transferCallbacks.onHead = [self = this->shared_from_this()](const net::ClientAnswerHead &head) { self->answerHead = head; };
     transferCallbacks.onData = [self = this->shared_from_this()](std::string_view data) { return self->takeData(data); };
     transferCallbacks.onDone = [self = this->shared_from_this()](const net::ClientResult &result) { self->takeEnd(result); };
@@ -29,6 +30,8 @@
         if (this->pipe) {
             this->pipe->finish(false);
         }
+        // They hold the owner, which holds this relay.
+        this->callbacks = {};
     }
 }
 
@@ -42,6 +45,16 @@
     return this->pipe != nullptr;
 }
 
+void AnswerRelay::setStatus(int status) noexcept
+{
+    this->answerHead.status = status;
+}
+
+void AnswerRelay::dropHeader(std::string_view name)
+{
+    std::erase_if(this->answerHead.headers, [name](const net::Header &header) { return net::isSameName(header.name, name); });
+}
+
 bool AnswerRelay::takeData(std::string_view data)
 {
     if (this->pipe) {
--- a/src/node/answerrelay.h
+++ b/src/node/answerrelay.h
@@ -21,6 +21,7 @@
     /// What the owner decides.
     struct Callbacks
     {
+        std::function<bool(const net::ClientAnswerHead &)> isAcceptable; ///< false: the answer is not this request's; may be empty
         std::function<bool(const net::ClientAnswerHead &)> onCommit; ///< a large answer begins to pass; false drops it
         std::function<void(const net::ClientResult &)> onDone; ///< the transfer has ended, in whole or not
     };
@@ -43,6 +44,12 @@
     [[nodiscard]] const net::ClientAnswerHead &head() const noexcept;
     [[nodiscard]] bool isStreaming() const noexcept;
 
+    /// Replaces the status with which the answer is passed on; before passHeld or passStream.
+    void setStatus(int status) noexcept;
+
+    /// Removes a header from the answer that is passed on.
+    void dropHeader(std::string_view name);
+
 private:
     bool takeData(std::string_view data);
     void takeEnd(const net::ClientResult &result);
--- a/src/node/ownanswer.cpp
+++ b/src/node/ownanswer.cpp
@@ -11,7 +11,7 @@
 constexpr int httpServiceUnavailable = 503;
 }
 
-net::HttpAnswer ownAnswer(const core::CallOutcome &outcome)
+net::HttpAnswer ownAnswer(const core::CallOutcome &outcome, core::Duration retryAfter)
 {
     const auto &row = core::answerFor(outcome.kind);
     net::HttpAnswer answer;
@@ -22,7 +22,7 @@
         {"Content-Type", "application/json"},
     };
     if (row.httpStatus == httpServiceUnavailable) {
-        answer.headers.push_back({"Retry-After", "1"});
+        answer.headers.push_back({"Retry-After", fmt::format("{:.3g}", core::toSeconds(retryAfter))});
     }
     answer.body = fmt::format("{{\"kind\":\"{}\",\"ran\":\"{}\",\"message\":\"{}\"}}\n", row.name, core::name(outcome.ran), row.wording);
     return answer;
--- /dev/null
+++ b/src/routing/fwd.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+
+/// Forward declarations of the decisions about where a request goes.
+namespace figpulley::routing
+{
+class EndpointPicker;
+class RetryBudget;
+class RouteTable;
+class SplitPicker;
+enum class RequestKind : std::uint8_t;
+struct Route;
+struct RouteSet;
+struct SplitPart;
+} // namespace figpulley::routing
--- /dev/null
+++ b/src/routing/routing.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/// Umbrella header of the decisions about where a request goes.
+#include "routing/endpointpicker.h"
+#include "routing/fwd.h"
+#include "routing/retrybudget.h"
+#include "routing/routeset.h"
+#include "routing/routetable.h"
+#include "routing/splitpicker.h"
