Tests of routing, discovery, gate, adapter and mesh nodes, with a stand-in of the platform's store

Cause: the whole path landed without tests of its own. Change: property tests of splits, retry share, records, slots and of the adapter's decoding; stories of departures over a restart, at-most-once, true refusals, a store that is away, a planned stop, on real sockets against a stand-in in the store's format.

--- /dev/null
+++ b/tests/gate_test.cpp
@@ -0,0 +1,112 @@
+#include "support/story.h"
+
+#include "gate/gate.h"
+
+#include <chrono>
+
+using namespace figpulley;
+using namespace std::chrono_literals;
+using core::ErrorKind;
+using gate::SlotDecision;
+
+namespace
+{
+core::TimePoint after(core::Duration duration)
+{
+    return core::TimePoint {} + 1h + duration;
+}
+
+gate::QueuedRequest requestOf(std::uint64_t id, int priority, core::TimePoint now, bool isNested = false)
+{
+    gate::QueuedRequest request;
+    request.entry = core::EntryId {id};
+    request.priority = priority;
+    request.isNested = isNested;
+    request.arrived = now;
+    request.target = now + 1s;
+    request.deadline = now + 5s;
+    return request;
+}
+} // namespace
+
+Test(gate, a_burst_meets_full_slots)
+{
+    tests::Story story;
+    gate::SlotQueue queue;
+    queue.setSlots(2);
+    const auto now = after(0s);
+    story.equal(queue.offer(requestOf(1, 2, now), now).kind, SlotDecision::Kind::Run, "the first runs");
+    story.equal(queue.offer(requestOf(2, 2, now), now).kind, SlotDecision::Kind::Run, "the second runs");
+    story.equal(queue.offer(requestOf(3, 2, now), now).kind, SlotDecision::Kind::Wait, "a lookup waits");
+    story.equal(queue.offer(requestOf(4, 0, now), now).kind, SlotDecision::Kind::Wait, "a booking waits");
+    story.equal(queue.offer(requestOf(5, 2, now, true), now).kind, SlotDecision::Kind::Wait, "a nested call waits");
+    auto next = queue.finish(50ms, after(50ms));
+    story.equal(core::value(next.at(0).entry), 5U, "the call that a running request waits for comes first");
+    next = queue.finish(50ms, after(60ms));
+    story.equal(core::value(next.at(0).entry), 4U, "then the booking");
+    next = queue.finish(50ms, after(70ms));
+    story.equal(core::value(next.at(0).entry), 3U, "then the lookup");
+    story.equal(queue.waiting(), 0, "nobody waits any more");
+    story.equal(queue.running(), 2, "and the slots are full");
+}
+
+Test(gate, a_deep_service_slows_down)
+{
+    tests::Story story;
+    gate::SlotQueue queue;
+    queue.setSlots(1);
+    const auto now = after(0s);
+    static_cast<void>(queue.offer(requestOf(1, 1, now), now));
+    static_cast<void>(queue.finish(400ms, after(400ms)));
+    static_cast<void>(queue.offer(requestOf(2, 1, after(400ms)), after(400ms)));
+    story.equal(queue.offer(requestOf(3, 1, after(400ms)), after(400ms)).kind, SlotDecision::Kind::Wait, "what can be done in time waits");
+    const auto refused = queue.offer(requestOf(4, 1, after(400ms)), after(400ms));
+    story.equal(refused.kind, SlotDecision::Kind::Refuse, "what cannot is refused at once");
+    story.equal(refused.refusal, ErrorKind::Overloaded, "as not run");
+    story.check(refused.retryAfter >= 400ms, "with the time when room is expected");
+    const auto expired = queue.expire(after(5s));
+    story.equal(expired.size(), 1U, "what waited too long is given up before its deadline");
+    story.equal(expired.front().refusal, ErrorKind::QueueTimeout, "as not run");
+}
+
+Test(gate, callers_leave_and_the_endpoint_leaves)
+{
+    tests::Story story;
+    gate::SlotQueue queue;
+    queue.setSlots(1);
+    const auto now = after(0s);
+    static_cast<void>(queue.offer(requestOf(1, 1, now), now));
+    static_cast<void>(queue.offer(requestOf(2, 1, now), now));
+    static_cast<void>(queue.offer(requestOf(3, 1, now), now));
+    story.check(queue.abandon(core::EntryId {2}), "a caller of a waiting request leaves");
+    story.check(!queue.abandon(core::EntryId {1}), "a running request does not wait");
+    const auto refused = queue.clear(ErrorKind::NotServing);
+    story.equal(refused.size(), 1U, "the endpoint leaves: what waits is refused");
+    story.equal(core::value(refused.front().entry), 3U, "so that its caller can go elsewhere");
+    story.check(queue.finish(10ms, now).empty(), "and nothing more is run");
+}
+
+Test(gate, slots_are_never_oversold)
+{
+    tests::holds("any order of arrivals and ends", [] {
+        gate::SlotQueue queue;
+        const auto slots = *rc::gen::inRange(1, 5);
+        queue.setSlots(slots);
+        auto now = after(0s);
+        int running = 0;
+        for (std::uint64_t id = 1; id < 200; ++id) {
+            now += core::Duration(*rc::gen::inRange(0, 50000));
+            if (running > 0 && *rc::gen::arbitrary<bool>()) {
+                --running;
+                for (const auto &decision : queue.finish(core::Duration(*rc::gen::inRange(1, 100000)), now)) {
+                    running += decision.kind == SlotDecision::Kind::Run ? 1 : 0;
+                }
+            } else {
+                running += queue.offer(requestOf(id, *rc::gen::inRange(0, 3), now), now).kind == SlotDecision::Kind::Run ? 1 : 0;
+            }
+            RC_ASSERT(running <= slots);
+            RC_ASSERT(running == queue.running());
+            RC_ASSERT(queue.waiting() == 0 || running == slots);
+        }
+    });
+}
--- /dev/null
+++ b/tests/mesh_test.cpp
@@ -0,0 +1,235 @@
+#include "support/meshbed.h"
+#include "support/rawserver.h"
+#include "support/story.h"
+
+#include "mesh/attempthead.h"
+
+using namespace figpulley;
+
+namespace
+{
+std::string header(const net::ClientAnswer &answer, std::string_view name)
+{
+    return std::string(net::findHeader(answer.head.headers, name));
+}
+} // namespace
+
+Test(mesh, a_request_through_two_nodes)
+{
+    tests::Story story;
+    tests::MeshBed bed;
+    bed.add("m1", "motivi");
+    bed.add("c1", "commesse");
+    story.section("before a configuration is known", [&] {
+        story.equal(bed.readiness("c1"), 503, "the node takes no clients");
+        const auto answer = bed.request("c1", "/look/1");
+        story.equal(answer.head.status, 503, "and refuses, since the route may exist");
+        story.equal(header(answer, "Figpulley-Ran"), std::string("no"), "as not run");
+    });
+    bed.publish();
+    story.equal(bed.heartbeat("m1", 1), 200, "the endpoint's heartbeat is acknowledged");
+    bed.waitReady("c1", 1);
+    story.equal(bed.readiness("c1"), 200, "the node takes clients");
+    story.section("a lookup", [&] {
+        const auto answer = bed.request("c1", "/look/1");
+        story.equal(answer.head.status, 200, "is answered");
+        story.equal(answer.body, std::string("expect=i-m1 caller=commesse host=a.example"), "by the endpoint that was meant");
+        story.equal(header(answer, "X-Server-Stamp"), std::string("stamp"), "with its mark");
+        story.equal(header(answer, "Figpulley-Outcome"), std::string(), "and without what nodes tell each other");
+    });
+    story.section("a path without a route", [&] { story.equal(bed.request("c1", "/else/").head.status, 404, "is refused"); });
+    story.section("an attempt for another endpoint", [&] {
+        const auto answer = bed.request("m1", "/look/1");
+        story.equal(answer.head.status, 200, "the node beside the endpoint serves its own clients too");
+    });
+}
+
+Test(mesh, a_departure_binds_after_a_restart)
+{
+    tests::Story story;
+    tests::MeshBed bed;
+    bed.publish();
+    bed.add("m1", "motivi");
+    bed.add("m2", "motivi");
+    bed.add("c1", "commesse");
+    bed.heartbeat("m1", 1);
+    bed.heartbeat("m2", 1);
+    bed.waitReady("c1", 2);
+    story.equal(bed.heartbeat("m1", 2, "draining"), 200, "the departure is acknowledged");
+    story.equal(bed.onLoop([&] { return bed.store->writes; }), 3, "after it was recorded");
+    const auto before = bed.requestsAt("m1");
+    story.section("others learn of it", [&] {
+        for (int at = 0; at < 10; ++at) {
+            story.equal(bed.request("c1", "/order/1", "POST").head.status, 200, "requests go elsewhere");
+        }
+        story.equal(bed.requestsAt("m1"), before, "and none to the one that leaves");
+    });
+    story.section("its node is killed and comes back", [&] {
+        bed.kill("m1");
+        bed.start("m1");
+        story.equal(bed.heartbeat("m1", 1), 200, "a late heartbeat from before the departure arrives");
+        story.equal(bed.heartbeat("m1", 3), 200, "or one of the same incarnation");
+        for (int at = 0; at < 10; ++at) {
+            story.equal(bed.request("c1", "/look/1").head.status, 200, "requests are served");
+        }
+        story.equal(bed.requestsAt("m1"), before, "but not by the one that leaves");
+    });
+    story.section("the next incarnation", [&] {
+        story.equal(bed.heartbeat("m1", 1, "ready", 200), 200, "announces itself");
+        bed.waitReady("c1", 2);
+        story.equal(bed.deregister("m2"), 200, "the other one leaves");
+        bed.waitReady("c1", 1);
+        story.equal(bed.request("c1", "/look/1").head.status, 200, "and requests reach the new one");
+        story.check(bed.requestsAt("m1") > before, "at its old address");
+    });
+}
+
+Test(mesh, an_order_runs_once_at_most)
+{
+    tests::Story story;
+    tests::MeshBed bed;
+    bed.publish();
+    std::string idOfAnother = "X-Request-Id: id-of-another";
+    tests::RawServer raw([&](int number, const std::string &) {
+        if (number == 1) {
+            return std::string(); // the connection ends after the request was read
+        }
+        return "HTTP/1.1 200 OK\r\n" + idOfAnother + "\r\nX-Server-Stamp: s\r\nContent-Length: 5\r\n\r\nother";
+    });
+    bed.add("m1", "motivi");
+    bed.add("c1", "commesse");
+    bed.kill("m1");
+    bed.useEndpoint("m1", raw.address());
+    bed.start("m1");
+    bed.heartbeat("m1", 1);
+    bed.waitReady("c1", 1);
+    story.section("the endpoint's connection ends without an answer", [&] {
+        const auto answer = bed.request("c1", "/order/1", "POST");
+        story.equal(answer.head.status, 502, "nothing is promised");
+        story.equal(header(answer, "Figpulley-Ran"), std::string("unknown"), "since it may have run");
+        story.equal(raw.requests.load(), 1, "and it was sent once");
+    });
+    story.section("an answer to another request comes in its place", [&] {
+        const auto answer = bed.request("c1", "/order/2", "POST");
+        story.equal(answer.head.status, 502, "it is not delivered");
+        story.check(answer.body.find("other") == std::string::npos, "nor is its body");
+        story.equal(raw.requests.load(), 2, "and the order was sent once");
+    });
+}
+
+Test(mesh, a_refusal_is_true)
+{
+    tests::Story story;
+    tests::MeshBed bed;
+    bed.publish();
+    std::vector<std::shared_ptr<net::HttpExchange>> held;
+    bed.add("m1", "motivi", [&](const std::shared_ptr<net::HttpExchange> &exchange) {
+        const auto &request = exchange->request();
+        if (request.path == "/order/failed") {
+            exchange->answer({503, {{"X-Request-Id", std::string(net::findHeader(request.headers, "X-Request-Id"))}}, "after running"});
+        } else if (request.path == "/order/refused") {
+            exchange->answer({503, {{"X-Not-Run", "1"}}, ""});
+        } else if (request.path == "/brief/") {
+            held.push_back(exchange);
+        } else {
+            tests::MeshBed::answerOk(exchange);
+        }
+    });
+    bed.add("c1", "commesse");
+    bed.heartbeat("m1", 1);
+    bed.waitReady("c1", 1);
+    story.equal(bed.request("c1", "/order/failed", "POST").head.status, 502, "a 503 of an endpoint that ran is no promise");
+    const auto refused = bed.request("c1", "/order/refused", "POST");
+    story.equal(refused.head.status, 503, "one that states that it did not run is");
+    story.check(!header(refused, "Retry-After").empty(), "and tells when to come back");
+    const auto late = bed.request("c1", "/brief/", "POST");
+    story.equal(late.head.status, 504, "at the route's timeout an order that runs is answered as unknown");
+    bed.onLoop([&] {
+        held.clear();
+        return true;
+    });
+}
+
+Test(mesh, the_store_is_away)
+{
+    tests::Story story;
+    tests::MeshBed bed;
+    bed.publish();
+    bed.add("m1", "motivi");
+    bed.add("c1", "commesse");
+    bed.heartbeat("m1", 1);
+    bed.waitReady("c1", 1);
+    story.section("a write whose answer is lost", [&] {
+        bed.onLoop([&] { return bed.store->fault = tests::MetadataStore::Fault::AnswerLost; });
+        story.equal(bed.heartbeat("m1", 2, "draining"), 200, "does not keep a departure from being acknowledged");
+        bed.onLoop([&] { return bed.store->fault = tests::MetadataStore::Fault::None; });
+        bed.waitReady("c1", 0);
+    });
+    story.section("a node that starts while the store refuses it", [&] {
+        bed.onLoop([&] { return bed.store->fault = tests::MetadataStore::Fault::Busy; });
+        bed.kill("m1");
+        bed.start("m1");
+        bed.heartbeat("m1", 1, "ready", 200);
+        bed.heartbeat("m1", 2, "ready", 200);
+        story.equal(bed.request("m1", "/look/1").head.status, 503, "knows no configuration and says so");
+    });
+    story.section("the store answers again", [&] {
+        bed.onLoop([&] { return bed.store->fault = tests::MetadataStore::Fault::None; });
+        bed.waitReady("c1", 1);
+        story.equal(bed.request("c1", "/look/1").head.status, 200, "and the endpoint is back");
+    });
+    story.section("the store has discarded its history", [&] {
+        bed.onLoop([&] {
+            bed.store->discardHistory();
+            bed.store->pageSize = 1;
+            return true;
+        });
+        bed.add("m2", "motivi");
+        bed.heartbeat("m2", 1);
+        bed.waitReady("c1", 2);
+        story.equal(bed.request("c1", "/look/1").head.status, 200, "so everything is listed again, page by page");
+    });
+}
+
+Test(mesh, a_planned_stop)
+{
+    tests::Story story;
+    tests::MeshBed bed;
+    bed.publish();
+    std::shared_ptr<net::HttpExchange> held;
+    bed.add("m1", "motivi", [&](const std::shared_ptr<net::HttpExchange> &exchange) { held = exchange; });
+    bed.add("c1", "commesse");
+    bed.heartbeat("m1", 1);
+    bed.waitReady("c1", 1);
+    net::ClientAnswer answer;
+    std::thread client([&] { answer = bed.request("c1", "/order/1", "POST"); });
+    bed.waitUntil([&] { return held != nullptr; });
+    std::promise<std::size_t> stopped;
+    bed.stop("m1", stopped);
+    story.equal(bed.readiness("m1"), 503, "the node takes no clients any more");
+    bed.onLoop([&] {
+        tests::MeshBed::answerOk(held);
+        held.reset();
+        return true;
+    });
+    client.join();
+    story.equal(answer.head.status, 200, "the request in flight is answered");
+    story.equal(stopped.get_future().get(), 0U, "and nothing is cut");
+}
+
+Test(mesh, headers_between_nodes)
+{
+    tests::holds("an attempt's head is read as it was written", [] {
+        mesh::AttemptHead head;
+        head.endpointId = *rc::gen::container<std::string>(rc::gen::inRange('a', 'z'));
+        head.service = "motivi";
+        head.priority = *rc::gen::inRange(0, 9);
+        head.isIdempotent = *rc::gen::arbitrary<bool>();
+        head.remaining = core::Duration(*rc::gen::inRange(0, 10000000));
+        head.objectiveLeft = core::Duration(*rc::gen::inRange(-10000000, 10000000));
+        head.configVersion = *rc::gen::inRange<std::uint64_t>(0, 1000000);
+        const auto text = encode(head);
+        RC_ASSERT(mesh::decodeAttemptHead(text) == std::optional(head));
+        RC_ASSERT(!mesh::decodeAttemptHead(text.substr(0, *rc::gen::inRange<std::size_t>(0, text.size()))));
+    });
+}
--- /dev/null
+++ b/tests/routing_test.cpp
@@ -0,0 +1,178 @@
+#include "support/story.h"
+
+#include "routing/routing.h"
+
+#include <chrono>
+#include <map>
+
+using namespace figpulley;
+using namespace std::chrono_literals;
+using routing::AttemptEnd;
+
+namespace
+{
+core::TimePoint after(core::Duration duration)
+{
+    return core::TimePoint {} + 1h + duration;
+}
+
+routing::Route routeTo(std::string name, std::string host, std::string prefix, std::vector<routing::SplitPart> parts)
+{
+    routing::Route route;
+    route.name = std::move(name);
+    route.host = std::move(host);
+    route.prefix = std::move(prefix);
+    route.parts = std::move(parts);
+    return route;
+}
+
+discovery::EndpointRecord endpointOf(std::string node, std::string service, std::string zone, int slots = 10)
+{
+    discovery::EndpointRecord record;
+    record.node = std::move(node);
+    record.id = "i-" + record.node;
+    record.service = std::move(service);
+    record.zone = std::move(zone);
+    record.slots = slots;
+    record.incarnation = 1;
+    return record;
+}
+
+std::string pickOnce(const routing::EndpointPicker &picker, const discovery::Directory &directory, core::TimePoint now, core::Random &random,
+                     const std::vector<std::string> &tried = {})
+{
+    const auto *endpoint = picker.pick(directory, {"motivi", "caltagirone", &tried, now}, random);
+    return endpoint == nullptr ? std::string("none") : endpoint->record.node;
+}
+} // namespace
+
+Test(routing, a_request_finds_its_route)
+{
+    tests::Story story;
+    routing::RouteSet set;
+    set.version = 7;
+    set.routes = {routeTo("all", "a.example", "/", {{"motivi", 1}}), routeTo("deep", "a.example", "/x/y/", {{"commesse", 1}}),
+                  routeTo("shallow", "a.example", "/x/", {{"bordure", 1}})};
+    const routing::RouteTable table(set);
+    const auto nameOf = [&](const char *host, const char *path) {
+        const auto *route = table.match(host, path);
+        return route == nullptr ? std::string("none") : route->name;
+    };
+    story.equal(nameOf("a.example", "/x/y/z"), std::string("deep"), "the longest prefix wins");
+    story.equal(nameOf("A.Example:8080", "/x/z"), std::string("shallow"), "the host's case and port do not matter");
+    story.equal(nameOf("a.example", "/x"), std::string("all"), "a prefix ends with its slash");
+    story.equal(nameOf("b.example", "/"), std::string("none"), "another host has no route");
+}
+
+Test(routing, shares_of_a_split_are_exact)
+{
+    tests::holds("any weights, over any span of requests", [] {
+        const auto first = *rc::gen::inRange(1, 100);
+        const auto second = *rc::gen::inRange(1, 100);
+        const auto requests = *rc::gen::inRange(1, 400);
+        core::Random random(*rc::gen::arbitrary<std::uint64_t>());
+        const auto route = routeTo("r", "a", "/", {{"one", double(first)}, {"two", double(second)}});
+        routing::SplitPicker picker;
+        int ones = 0;
+        for (int at = 0; at < requests; ++at) {
+            ones += picker.pick(route, random) == "one" ? 1 : 0;
+        }
+        const double expected = double(requests) * first / (first + second);
+        RC_ASSERT(std::abs(ones - expected) <= 2.0);
+    });
+}
+
+Test(routing, an_endpoint_is_chosen_by_room_and_zone)
+{
+    tests::Story story;
+    core::Random random(1);
+    discovery::Directory directory;
+    const auto now = after(0s);
+    directory.put(endpointOf("10.0.0.1:1", "motivi", "caltagirone"), 1, now);
+    directory.put(endpointOf("10.0.0.2:1", "motivi", "mineo"), 2, now);
+    directory.put(endpointOf("10.0.0.3:1", "commesse", "caltagirone"), 3, now);
+    story.section("while there is room", [&] {
+        const routing::EndpointPicker picker;
+        for (int at = 0; at < 20; ++at) {
+            story.equal(pickOnce(picker, directory, now, random), std::string("10.0.0.1:1"), "the caller's zone is preferred");
+        }
+    });
+    story.section("a burst fills the caller's zone", [&] {
+        routing::EndpointPicker picker;
+        std::map<std::string, int> sent;
+        for (int at = 0; at < 20; ++at) {
+            const auto node = pickOnce(picker, directory, now, random);
+            picker.sent(node);
+            ++sent[node];
+        }
+        story.check(sent["10.0.0.1:1"] > sent["10.0.0.2:1"] && sent["10.0.0.2:1"] >= 6, "what exceeds its room goes to the other zone");
+    });
+    story.section("a node that cannot be reached", [&] {
+        routing::EndpointPicker picker;
+        picker.sent("10.0.0.1:1");
+        picker.ended("10.0.0.1:1", AttemptEnd::Unreachable, std::nullopt, now);
+        story.equal(pickOnce(picker, directory, now + 100ms, random), std::string("10.0.0.2:1"), "is left out");
+        story.equal(pickOnce(picker, directory, now + 100ms, random, {"10.0.0.2:1"}), std::string("10.0.0.1:1"),
+                    "but for a request that was refused elsewhere");
+        story.equal(pickOnce(picker, directory, now + 2s, random), std::string("10.0.0.1:1"), "and tried again soon");
+    });
+    story.section("an endpoint that fails part of its requests while its heartbeats are good", [&] {
+        routing::EndpointPicker picker;
+        for (int at = 0; at < 10; ++at) {
+            picker.sent("10.0.0.1:1");
+            picker.ended("10.0.0.1:1", at % 2 == 0 ? AttemptEnd::Failed : AttemptEnd::Served, std::nullopt, now);
+        }
+        story.equal(pickOnce(picker, directory, now, random), std::string("10.0.0.2:1"), "is avoided");
+    });
+    story.section("an endpoint whose node tells that it is full", [&] {
+        routing::EndpointPicker picker;
+        picker.sent("10.0.0.1:1");
+        picker.ended("10.0.0.1:1", AttemptEnd::Full, routing::EndpointLoad {10, 5, 10}, now);
+        story.equal(pickOnce(picker, directory, now, random), std::string("10.0.0.2:1"), "is avoided");
+        story.equal(pickOnce(picker, directory, now + 3s, random), std::string("10.0.0.1:1"), "until the report is old");
+    });
+}
+
+Test(routing, repeats_stay_within_the_nodes_share)
+{
+    tests::Story story;
+    const routing::RetryBudgetRules rules {0.2, 48, 10s};
+    story.section("a node without requests", [&] {
+        routing::RetryBudget budget(rules);
+        int taken = 0;
+        for (int at = 0; at < 100; ++at) {
+            taken += budget.take("motivi", 16, after(at * 10ms)) ? 1 : 0;
+        }
+        story.check(taken * 16 <= 48, "all nodes together stay within the slack");
+    });
+    tests::holds("requests and repeats of a node never exceed its share in any window", [&] {
+        routing::RetryBudget budget(rules);
+        const auto nodes = *rc::gen::inRange<std::size_t>(1, 100);
+        std::vector<std::pair<core::TimePoint, bool>> events;
+        auto now = after(0s);
+        for (int at = 0; at < 300; ++at) {
+            now += core::Duration(*rc::gen::inRange(0, 200000));
+            const bool isRepeat = *rc::gen::arbitrary<bool>();
+            if (!isRepeat) {
+                budget.countRequest("motivi", now);
+                events.emplace_back(now, false);
+            } else if (budget.take("motivi", nodes, now)) {
+                events.emplace_back(now, true);
+            }
+        }
+        for (const auto &[end, unused] : events) {
+            double requests = 0;
+            double repeats = 0;
+            for (const auto &[when, isRepeat] : events) {
+                const bool isInside = when <= end && end - when < rules.window;
+                (isRepeat ? repeats : requests) += isInside ? 1 : 0;
+            }
+            // The bound also counts the requests of the window before.
+            double before = 0;
+            for (const auto &[when, isRepeat] : events) {
+                before += !isRepeat && end - when >= rules.window && end - when < 2 * rules.window ? 1 : 0;
+            }
+            RC_ASSERT(repeats <= rules.ratio * std::max(requests, before) + rules.slack / double(nodes));
+        }
+    });
+}
--- /dev/null
+++ b/tests/support/meshbed.h
@@ -0,0 +1,239 @@
+#pragma once
+
+#include "mesh/meshnode.h"
+#include "net/loopthread.h"
+#include "platform/platform.h"
+#include "support/httpcall.h"
+#include "support/metadatastore.h"
+
+#include <chrono>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace figpulley::tests
+{
+/// A free port of an address, taken by a socket that is closed again.
+[[nodiscard]] inline net::Address freeAddress(const std::string &ip)
+{
+    const int probe = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in where {};
+    where.sin_family = AF_INET;
+    inet_pton(AF_INET, ip.c_str(), &where.sin_addr);
+    bind(probe, reinterpret_cast<sockaddr *>(&where), sizeof where);
+    socklen_t size = sizeof where;
+    getsockname(probe, reinterpret_cast<sockaddr *>(&where), &size);
+    close(probe);
+    return {ip, ntohs(where.sin_port)};
+}
+
+/// Mesh nodes with endpoints of their own and the platform's store, on one thread and real sockets.
+class MeshBed
+{
+public:
+    /// What an endpoint does with a request; the exchange may be answered later.
+    using Work = std::function<void(const std::shared_ptr<net::HttpExchange> &)>;
+
+    static constexpr const char *routes =
+        R"({"Version":1,"Services":[],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000000,"HeaderTimeoutS":3,"IdleTimeoutS":15},)"
+        R"("VirtualHosts":[{"Host":"a.example","Paths":[)"
+        R"({"Name":"look","PathPrefix":"/look/","Kind":"safe","TimeoutS":5,"TargetLatencyS":2,"Priority":2,"Service":"motivi","MaxAttempts":2},)"
+        R"({"Name":"order","PathPrefix":"/order/","Kind":"unsafe","TimeoutS":5,"TargetLatencyS":2,"Priority":0,"Service":"motivi","MaxAttempts":2},)"
+        R"({"Name":"brief","PathPrefix":"/brief/","Kind":"unsafe","TimeoutS":0.3,"TargetLatencyS":0.2,"Priority":0,"Service":"motivi","MaxAttempts":2}]}]})";
+
+    MeshBed()
+    {
+        core::setLogLevel(core::LogLevel::Off);
+        this->thread.call([this] {
+            this->client = std::make_unique<net::HttpClient>(this->thread.loop());
+            this->store = std::make_unique<MetadataStore>(this->thread.loop(), net::Address {"127.0.0.1", 0});
+        });
+    }
+
+    ~MeshBed()
+    {
+        this->thread.call([this] {
+            this->vms.clear();
+            this->store.reset();
+            this->client.reset();
+        });
+    }
+
+    MeshBed(const MeshBed &) = delete;
+    MeshBed &operator=(const MeshBed &) = delete;
+
+    void publish(const std::string &text = routes)
+    {
+        this->thread.call([&] { this->store->write("config", "main", text); });
+    }
+
+    /// Adds a VM with its endpoint; the node is started.
+    void add(const std::string &name, const std::string &service, Work work = answerOk)
+    {
+        this->thread.call([&] {
+            auto &vm = this->vms[name];
+            const std::string ip = fmt::format("127.0.0.{}", this->vms.size() + 1);
+            vm.service = service;
+            vm.endpoint = std::make_unique<net::HttpServer>(this->thread.loop(), net::Address {ip, 0},
+                                                            [this, name, work](const std::shared_ptr<net::HttpExchange> &exchange) {
+                                                                ++this->vms.at(name).requests;
+                                                                work(exchange);
+                                                            });
+            auto &settings = vm.settings;
+            settings.name = name;
+            settings.availabilityZone = "mineo";
+            settings.service = service;
+            settings.entrance = freeAddress(ip);
+            settings.ingress = freeAddress(ip);
+            settings.control = freeAddress(ip);
+            settings.readiness = freeAddress(ip);
+            settings.metrics = freeAddress(ip);
+            settings.upstream = vm.endpoint->address();
+            settings.store = this->store->address();
+            settings.heartbeatInterval = std::chrono::seconds(2);
+            settings.grace = std::chrono::seconds(6);
+        });
+        this->start(name);
+    }
+
+    /// Points a VM's node at another endpoint, before it is started again.
+    void useEndpoint(const std::string &name, const net::Address &address)
+    {
+        this->thread.call([&] { this->vms.at(name).settings.upstream = address; });
+    }
+
+    void start(const std::string &name)
+    {
+        this->thread.call([&] {
+            auto &vm = this->vms.at(name);
+            vm.platformStore = std::make_unique<platform::PlatformStore>(*this->client, this->store->address().toString());
+            vm.node =
+                std::make_unique<mesh::MeshNode>(this->thread.loop(), *this->client, vm.settings, this->wire, *vm.platformStore);
+            vm.node->start();
+        });
+    }
+
+    /// Ends a node's process without a word.
+    void kill(const std::string &name)
+    {
+        this->thread.call([&] { this->vms.at(name).node.reset(); });
+    }
+
+    void stop(const std::string &name, std::promise<std::size_t> &stopped)
+    {
+        this->thread.call([&] { this->vms.at(name).node->stop([&stopped](std::size_t cut) { stopped.set_value(cut); }); });
+    }
+
+    /// Sends a heartbeat of a VM's endpoint.
+    /// @returns the status of the answer
+    int heartbeat(const std::string &name, int sequence, const std::string &state = "ready", std::int64_t incarnation = 100)
+    {
+        const auto body = fmt::format(
+            R"({{"Service":"{}","Address":"127.0.0.1:1","Zone":"mineo","Version":"v1","Slots":4,"State":"{}","ColdRemainingS":0,"Seq":{},"born":{}}})",
+            this->vms.at(name).service, state, sequence, incarnation);
+        return this->control(name, "/v1/Instances.Heartbeat/i-" + name, body);
+    }
+
+    int deregister(const std::string &name)
+    {
+        return this->control(name, "/v1/Instances.Deregister/i-" + name, "{}");
+    }
+
+    [[nodiscard]] net::ClientAnswer request(const std::string &name, const std::string &path, const std::string &method = "GET")
+    {
+        net::ClientRequest request;
+        request.method = method;
+        request.url = fmt::format("http://{}{}", this->vms.at(name).settings.entrance.toString(), path);
+        request.headers = {{"Host", "a.example"}, {"X-Request-Id", fmt::format("id-{}", ++this->nextRequest)}, {"X-Deadline-Ms", "4000"}};
+        request.body = method == "POST" ? "order" : "";
+        return this->caller.call(request);
+    }
+
+    [[nodiscard]] int readiness(const std::string &name)
+    {
+        return this->caller.get(this->vms.at(name).settings.readiness, "/v1/readiness", "x").head.status;
+    }
+
+    /// Waits until a condition on the loop's thread holds.
+    void waitUntil(const std::function<bool()> &condition)
+    {
+        for (int round = 0; round < 1000; ++round) {
+            if (this->thread.call(condition)) {
+                return;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        cr_assert(false, "the condition did not come true within 10 s");
+    }
+
+    /// Waits until a node knows the configuration and a number of endpoints that take requests.
+    void waitReady(const std::string &name, std::size_t endpoints, const std::string &service = "motivi")
+    {
+        this->waitUntil([&, endpoints] {
+            const auto &board = this->vms.at(name).node->board();
+            return board.config.read().table != nullptr && board.directory.read().ready(service).size() == endpoints;
+        });
+    }
+
+    [[nodiscard]] int requestsAt(const std::string &name)
+    {
+        return this->thread.call([&] { return this->vms.at(name).requests; });
+    }
+
+    template<class Function>
+    auto onLoop(Function function)
+    {
+        return this->thread.call(function);
+    }
+
+    /// Answers as a sound endpoint does.
+    static void answerOk(const std::shared_ptr<net::HttpExchange> &exchange)
+    {
+        const auto &headers = exchange->request().headers;
+        exchange->answer({200,
+                          {{"X-Request-Id", std::string(net::findHeader(headers, "X-Request-Id"))}, {"X-Server-Stamp", "stamp"}},
+                          fmt::format("expect={} caller={} host={}", net::findHeader(headers, "X-Expect-Instance"),
+                                      net::findHeader(headers, "X-Caller-Service"), net::findHeader(headers, "Host"))});
+    }
+
+    std::unique_ptr<MetadataStore> store;
+
+private:
+    struct Vm
+    {
+        std::string service;
+        mesh::MeshSettings settings;
+        std::unique_ptr<net::HttpServer> endpoint;
+        std::unique_ptr<platform::PlatformStore> platformStore;
+        std::unique_ptr<mesh::MeshNode> node;
+        int requests = 0;
+    };
+
+    int control(const std::string &name, const std::string &path, const std::string &body)
+    {
+        net::ClientRequest request;
+        request.method = "POST";
+        request.url = fmt::format("http://{}{}", this->vms.at(name).settings.control.toString(), path);
+        request.body = body;
+        return this->caller.call(request).head.status;
+    }
+
+    net::LoopThread thread;
+    platform::PlatformWire wire;
+    std::unique_ptr<net::HttpClient> client;
+    std::map<std::string, Vm> vms;
+    int nextRequest = 0;
+    HttpCaller caller;
+};
+} // namespace figpulley::tests
