Relay of requests by lean server and client on Boost.Beast's parser; libmicrohttpd and libcurl keep control and store

Change: net/RelayServer and net/RelayClient for what is passed on, edge-triggered, behind the interfaces that were there.

--- a/src/mesh/gateface.cpp
+++ b/src/mesh/gateface.cpp
@@ -123,6 +123,7 @@
         request.isFreshConnection = !this->head.isIdempotent;
         request.mayResend = false;
         request.largestIdle = upstreamIdle;
+        request.mayBeUnframed = true;
         for (const auto &header : incoming.headers) {
             if (node::isPassedOn(header.name) && !context.wire.isOwnHeader(header.name)) {
                 request.headers.push_back(header);
@@ -134,7 +135,7 @@
         callbacks.isAcceptable = [self = this->shared_from_this()](const net::ClientAnswerHead &answer) { return self->isOwn(answer); };
         callbacks.onCommit = [self = this->shared_from_this()](const net::ClientAnswerHead &) { return self->commit(); };
         callbacks.onDone = [self = this->shared_from_this()](const net::ClientResult &result) { self->ended(result); };
-        this->relay = std::make_shared<node::AnswerRelay>(context.loop, context.client, this->exchange, std::move(callbacks));
+        this->relay = std::make_shared<node::AnswerRelay>(context.loop, context.relay, this->exchange, std::move(callbacks));
         this->relay->start(request);
     }
 
@@ -267,9 +268,9 @@
     : context(context)
     , snapshots(snapshots)
 {
-    this->server = std::make_unique<net::HttpServer>(
+    this->server = std::make_unique<net::RelayServer>(
         context.loop, context.settings.ingress, [this](std::shared_ptr<net::HttpExchange> exchange) { this->accept(std::move(exchange)); },
-        net::HttpServerLimits {.bodyBytes = largestRequestBody});
+        net::RelayServerLimits {.bodyBytes = largestRequestBody});
 }
 
 GateFace::~GateFace()
--- a/src/mesh/gateface.h
+++ b/src/mesh/gateface.h
@@ -4,7 +4,7 @@
 #include "mesh/attempthead.h"
 #include "mesh/meshcontext.h"
 #include "mesh/snapshotexchange.h"
-#include "net/httpserver.h"
+#include "net/relayserver.h"
 
 #include <memory>
 #include <unordered_map>
@@ -43,6 +43,6 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<Run>> runs;
     std::uint64_t nextEntry = 1;
     net::EventLoop::TimerId expiryTimer = net::EventLoop::noTimer;
-    std::unique_ptr<net::HttpServer> server;
+    std::unique_ptr<net::RelayServer> server;
 };
 } // namespace figpulley::mesh
--- a/src/mesh/meshcontext.h
+++ b/src/mesh/meshcontext.h
@@ -4,6 +4,7 @@
 #include "mesh/fwd.h"
 #include "net/eventloop.h"
 #include "net/httpclient.h"
+#include "net/httpsender.h"
 #include "node/nodemetrics.h"
 #include "store/collectionstore.h"
 
@@ -13,7 +14,8 @@
 struct MeshContext
 {
     net::EventLoop &loop;
-    net::HttpClient &client;
+    net::HttpClient &client; ///< for snapshots of peers
+    net::HttpSender &relay; ///< for requests that are passed on
     const MeshSettings &settings;
     const WireFormat &wire;
     store::CollectionStore &store;
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -34,7 +34,8 @@
     , settings(std::move(nodeSettings))
     , wire(wire)
     , random(systemSeed())
-    , context {loop, client, this->settings, wire, store, this->blackboard, this->random, this->metrics}
+    , relay(loop)
+    , context {loop, client, this->relay, this->settings, wire, store, this->blackboard, this->random, this->metrics}
     , config(this->blackboard, wire)
     , directory(this->blackboard)
     , snapshots(this->context, this->config, this->directory)
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -9,6 +9,7 @@
 #include "mesh/meshsettings.h"
 #include "mesh/outboundface.h"
 #include "mesh/snapshotexchange.h"
+#include "net/relayclient.h"
 
 #include <functional>
 #include <memory>
@@ -48,6 +49,7 @@
     core::Random random;
     MeshBoard blackboard;
     node::NodeMetrics metrics;
+    net::RelayClient relay;
     MeshContext context;
     ConfigKeeper config;
     DirectoryKeeper directory;
--- a/src/mesh/outboundface.cpp
+++ b/src/mesh/outboundface.cpp
@@ -168,7 +168,7 @@
         node::AnswerRelay::Callbacks callbacks;
         callbacks.onCommit = [self = this->shared_from_this()](const net::ClientAnswerHead &) { return self->commit(); };
         callbacks.onDone = [self = this->shared_from_this()](const net::ClientResult &result) { self->ended(result); };
-        this->relay = std::make_shared<node::AnswerRelay>(context.loop, context.client, this->exchange, std::move(callbacks));
+        this->relay = std::make_shared<node::AnswerRelay>(context.loop, context.relay, this->exchange, std::move(callbacks));
         this->face.picker.sent(this->node);
         this->isSent = true;
         context.metrics.countAttempt(this->service, this->tried.size() > 1);
@@ -345,9 +345,9 @@
     , retryBudget(context.settings.retryBudget)
     , ownIp(context.settings.entrance.ip)
 {
-    this->server = std::make_unique<net::HttpServer>(
+    this->server = std::make_unique<net::RelayServer>(
         context.loop, context.settings.entrance, [this](std::shared_ptr<net::HttpExchange> exchange) { this->accept(std::move(exchange)); },
-        net::HttpServerLimits {.bodyBytes = largestRequestBody});
+        net::RelayServerLimits {.bodyBytes = largestRequestBody});
 }
 
 OutboundFace::~OutboundFace() = default;
--- a/src/mesh/outboundface.h
+++ b/src/mesh/outboundface.h
@@ -3,7 +3,7 @@
 #include "mesh/attempthead.h"
 #include "mesh/meshcontext.h"
 #include "mesh/snapshotexchange.h"
-#include "net/httpserver.h"
+#include "net/relayserver.h"
 #include "routing/endpointpicker.h"
 #include "routing/retrybudget.h"
 #include "routing/splitpicker.h"
@@ -40,6 +40,6 @@
     std::size_t callsInFlight = 0;
     core::TimePoint arrivedLast {};
     std::string ownIp;
-    std::unique_ptr<net::HttpServer> server;
+    std::unique_ptr<net::RelayServer> server;
 };
 } // namespace figpulley::mesh
--- a/src/net/bodypipe.cpp
+++ b/src/net/bodypipe.cpp
@@ -58,6 +58,11 @@
     return this->finished;
 }
 
+bool BodyPipe::isEmpty() const noexcept
+{
+    return this->offset == this->buffer.size();
+}
+
 bool BodyPipe::isWhole() const noexcept
 {
     return this->whole;
--- a/src/net/bodypipe.h
+++ b/src/net/bodypipe.h
@@ -29,6 +29,7 @@
     void abandon();
 
     [[nodiscard]] bool isFinished() const noexcept;
+    [[nodiscard]] bool isEmpty() const noexcept; ///< no bytes wait to be taken
     [[nodiscard]] bool isWhole() const noexcept;
 
     std::function<void()> onReadable; ///< bytes or the end have arrived
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -40,7 +40,7 @@
 class EventLoop::Implementation
 {
 public:
-    using ReadyCallback = std::function<void(bool, bool)>;
+    using ReadyCallback = std::function<void(const Readiness &)>;
 
     struct Watch
     {
@@ -165,8 +165,11 @@
         const auto callback = found->second.onReady;
         const bool isBroken = (event.events & (EPOLLERR | EPOLLHUP)) != 0;
         const auto wanted = found->second.events;
-        (*callback)((event.events & EPOLLIN) != 0 || (isBroken && (wanted & EPOLLIN) != 0),
-                    (event.events & EPOLLOUT) != 0 || (isBroken && (wanted & EPOLLOUT) != 0));
+        (*callback)({
+            .isReadable = (event.events & EPOLLIN) != 0 || (isBroken && (wanted & EPOLLIN) != 0),
+            .isWritable = (event.events & EPOLLOUT) != 0 || (isBroken && (wanted & EPOLLOUT) != 0),
+            .isHungUp = isBroken || (event.events & EPOLLRDHUP) != 0,
+        });
     }
 
     void runPosted()
@@ -287,17 +290,27 @@
 void EventLoop::watch(int descriptor, bool isRead, bool isWrite, std::function<void(bool, bool)> onReady)
 {
     auto &self = *this->implementation;
-    const std::uint32_t events = (isRead ? EPOLLIN : 0U) | (isWrite ? EPOLLOUT : 0U);
+    const std::uint32_t events = (isRead ? static_cast<std::uint32_t>(EPOLLIN) : 0U) | (isWrite ? static_cast<std::uint32_t>(EPOLLOUT) : 0U);
     auto &watch = self.watches[descriptor];
     if (!watch.onReady) {
         ++watch.generation;
-        watch.onReady = std::make_shared<const Implementation::ReadyCallback>(std::move(onReady));
+        watch.onReady = std::make_shared<const Implementation::ReadyCallback>(
+            [onReady = std::move(onReady)](const Readiness &readiness) { onReady(readiness.isReadable, readiness.isWritable); });
         self.apply(descriptor, watch, events);
     } else if (watch.events != events) {
         self.apply(descriptor, watch, events);
     }
 }
 
+void EventLoop::watchEdges(int descriptor, std::function<void(const Readiness &)> onChange)
+{
+    auto &self = *this->implementation;
+    auto &watch = self.watches[descriptor];
+    ++watch.generation;
+    watch.onReady = std::make_shared<const Implementation::ReadyCallback>(std::move(onChange));
+    self.apply(descriptor, watch, EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET);
+}
+
 void EventLoop::unwatch(int descriptor)
 {
     auto &self = *this->implementation;
--- a/src/net/eventloop.h
+++ b/src/net/eventloop.h
@@ -7,6 +7,14 @@
 
 namespace figpulley::net
 {
+/// What has happened on a descriptor since it was last told.
+struct Readiness
+{
+    bool isReadable = false;
+    bool isWritable = false;
+    bool isHungUp = false; ///< the peer has closed its end, or the connection has failed
+};
+
 /// One thread's loop: descriptors, timers on the monotonic clock, and work posted by other threads. Timers are kept by ACE.
 class EventLoop
 {
@@ -42,6 +50,10 @@
     /// @param onReady receives whether it is readable and whether it is writable
     void watch(int descriptor, bool isRead, bool isWrite, std::function<void(bool, bool)> onReady);
 
+    /// Calls back once for each change of a descriptor; whoever is called reads and writes until the descriptor would block.
+    /// Needs one call to the kernel for the life of a connection, where watch() needs one for each change of interest.
+    void watchEdges(int descriptor, std::function<void(const Readiness &)> onChange);
+
     /// Ends the watch of a descriptor.
     void unwatch(int descriptor);
 
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,6 +1,8 @@
 #include "net/httpserver.h"
 
 #include "core/errorkind.h"
+#include "net/requestchecks.h"
+#include "net/socket.h"
 
 #include <algorithm>
 #include <array>
@@ -32,25 +34,6 @@
 constexpr core::Duration shortestIdleSweep = 1s; // idle connections are closed with this precision
 constexpr int runsPerTurn = 16;
 constexpr std::size_t streamBlock = 32UL * 1024UL;
-constexpr int listenBacklog = 1024;
-
-int openListener(const Address &address)
-{
-    const int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    const int enabled = 1;
-    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
-    sockaddr_in where {};
-    where.sin_family = AF_INET;
-    where.sin_port = htons(address.port);
-    inet_pton(AF_INET, address.ip.c_str(), &where.sin_addr);
-    const bool isBound = bind(listener, reinterpret_cast<sockaddr *>(&where), sizeof where) == 0 && listen(listener, listenBacklog) == 0;
-    if (!isBound) {
-        const auto reason = std::string(strerror(errno));
-        close(listener);
-        throw std::runtime_error(fmt::format("cannot listen on {}: {}", address.toString(), reason));
-    }
-    return listener;
-}
 } // namespace
 
 class HttpServer::Implementation
@@ -250,20 +233,6 @@
     return MHD_YES;
 }
 
-// Two framings of one body are how requests are smuggled past a proxy; so are two lengths, and encodings that are not chunked.
-bool hasAmbiguousLength(const Headers &headers)
-{
-    int framings = 0;
-    for (const auto &header : headers) {
-        const bool isEncoding = isSameName(header.name, "Transfer-Encoding");
-        if (isEncoding && !isSameName(header.value, "chunked")) {
-            return true;
-        }
-        framings += isEncoding || isSameName(header.name, "Content-Length") ? 1 : 0;
-    }
-    return framings > 1;
-}
-
 std::size_t announcedLength(const Headers &headers)
 {
     const auto text = findHeader(headers, "Content-Length");
@@ -484,12 +453,7 @@
 
 Address HttpServer::address() const
 {
-    sockaddr_in where {};
-    socklen_t size = sizeof where;
-    getsockname(this->implementation->listener, reinterpret_cast<sockaddr *>(&where), &size);
-    std::array<char, INET_ADDRSTRLEN> text {};
-    inet_ntop(AF_INET, &where.sin_addr, text.data(), text.size());
-    return {text.data(), ntohs(where.sin_port)};
+    return localAddress(this->implementation->listener);
 }
 
 void HttpServer::stopAccepting()
--- /dev/null
+++ b/src/net/messageparser.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "net/header.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <boost/beast/http/basic_parser.hpp>
+
+namespace figpulley::net
+{
+/// Reads one HTTP message piece by piece, by Boost.Beast's parser.
+template<bool isRequest>
+class MessageParser : public boost::beast::http::basic_parser<isRequest>
+{
+public:
+    std::string method; ///< of a request
+    std::string target; ///< of a request: path and query
+    int status = 0; ///< of an answer
+    Headers headers;
+    std::optional<std::size_t> length; ///< of the body, if it is announced
+    std::function<void(std::string_view)> onBody; ///< receives the body; null: it is kept in `body`
+    std::string body;
+
+protected:
+    using ErrorCode = boost::beast::error_code;
+    using View = boost::beast::string_view;
+
+    void on_request_impl(boost::beast::http::verb /*verb*/, View name, View path, int /*version*/, ErrorCode & /*error*/) override
+    {
+        this->method.assign(name.data(), name.size());
+        this->target.assign(path.data(), path.size());
+    }
+
+    void on_response_impl(int code, View /*reason*/, int /*version*/, ErrorCode & /*error*/) override
+    {
+        this->status = code;
+    }
+
+    void on_field_impl(boost::beast::http::field /*field*/, View name, View value, ErrorCode & /*error*/) override
+    {
+        this->headers.push_back({std::string(name.data(), name.size()), std::string(value.data(), value.size())});
+    }
+
+    void on_header_impl(ErrorCode & /*error*/) override
+    {
+    }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t> &announced, ErrorCode & /*error*/) override
+    {
+        if (announced) {
+            this->length = static_cast<std::size_t>(*announced);
+        }
+    }
+
+    std::size_t on_body_impl(View piece, ErrorCode & /*error*/) override
+    {
+        this->take({piece.data(), piece.size()});
+        return piece.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t /*size*/, View /*extensions*/, ErrorCode & /*error*/) override
+    {
+    }
+
+    std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, View piece, ErrorCode & /*error*/) override
+    {
+        this->take({piece.data(), piece.size()});
+        return piece.size();
+    }
+
+    void on_finish_impl(ErrorCode & /*error*/) override
+    {
+    }
+
+private:
+    void take(std::string_view piece)
+    {
+        if (this->onBody) {
+            this->onBody(piece);
+        } else {
+            this->body.append(piece);
+        }
+    }
+};
+} // namespace figpulley::net
--- /dev/null
+++ b/src/net/requestchecks.cpp
@@ -0,0 +1,18 @@
+#include "net/requestchecks.h"
+
+namespace figpulley::net
+{
+// Two lengths and encodings that are not chunked count as well.
+bool hasAmbiguousLength(const Headers &headers)
+{
+    int framings = 0;
+    for (const auto &header : headers) {
+        const bool isEncoding = isSameName(header.name, "Transfer-Encoding");
+        if (isEncoding && !isSameName(header.value, "chunked")) {
+            return true;
+        }
+        framings += isEncoding || isSameName(header.name, "Content-Length") ? 1 : 0;
+    }
+    return framings > 1;
+}
+} // namespace figpulley::net
--- /dev/null
+++ b/src/net/socket.cpp
@@ -0,0 +1,155 @@
+#include "net/socket.h"
+
+#include <array>
+#include <cerrno>
+#include <chrono>
+#include <cstring>
+#include <stdexcept>
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace figpulley::net
+{
+namespace
+{
+constexpr int listenBacklog = 1024;
+constexpr std::size_t readBuffer = 64UL * 1024UL;
+constexpr int probeSeconds = 1; // between keep-alive probes of a silent connection
+
+sockaddr_in toSocketAddress(const Address &address)
+{
+    sockaddr_in where {};
+    where.sin_family = AF_INET;
+    where.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.ip.c_str(), &where.sin_addr);
+    return where;
+}
+
+std::string textOf(const sockaddr_in &address)
+{
+    std::array<char, INET_ADDRSTRLEN> text {};
+    inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
+    return text.data();
+}
+
+void setOption(int descriptor, int level, int option, int value)
+{
+    setsockopt(descriptor, level, option, &value, sizeof value);
+}
+
+// The user timeout covers bytes that were sent, the probes a connection that only waits for an answer.
+void limitSilence(int descriptor, core::Duration silence)
+{
+    setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, probeSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, probeSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(core::toMilliseconds(silence)));
+}
+
+bool wouldBlock()
+{
+    return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+}
+} // namespace
+
+int openListener(const Address &address)
+{
+    const int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    setOption(listener, SOL_SOCKET, SO_REUSEADDR, 1);
+    const auto where = toSocketAddress(address);
+    const bool isBound =
+        bind(listener, reinterpret_cast<const sockaddr *>(&where), sizeof where) == 0 && listen(listener, listenBacklog) == 0;
+    if (!isBound) {
+        const auto reason = std::string(strerror(errno));
+        close(listener);
+        throw std::runtime_error(fmt::format("cannot listen on {}: {}", address.toString(), reason));
+    }
+    return listener;
+}
+
+Address localAddress(int descriptor)
+{
+    sockaddr_in where {};
+    socklen_t size = sizeof where;
+    getsockname(descriptor, reinterpret_cast<sockaddr *>(&where), &size);
+    return {textOf(where), ntohs(where.sin_port)};
+}
+
+std::string peerIp(int descriptor)
+{
+    sockaddr_in where {};
+    socklen_t size = sizeof where;
+    if (getpeername(descriptor, reinterpret_cast<sockaddr *>(&where), &size) != 0) {
+        return {};
+    }
+    return textOf(where);
+}
+
+int startConnect(const Address &address, core::Duration silence)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) {
+        return -1;
+    }
+    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    if (silence.count() > 0) {
+        limitSilence(descriptor, silence);
+    }
+    const auto where = toSocketAddress(address);
+    if (connect(descriptor, reinterpret_cast<const sockaddr *>(&where), sizeof where) != 0 && errno != EINPROGRESS) {
+        close(descriptor);
+        return -1;
+    }
+    return descriptor;
+}
+
+int acceptOne(int listener)
+{
+    const int descriptor = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor >= 0) {
+        setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    }
+    return descriptor;
+}
+
+bool isConnected(int descriptor)
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+    return getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
+}
+
+IoResult readSome(int descriptor, std::string_view &bytes, bool &isDrained)
+{
+    thread_local std::array<char, readBuffer> buffer;
+    const auto size = recv(descriptor, buffer.data(), buffer.size(), 0);
+    if (size < 0) {
+        isDrained = true;
+        return wouldBlock() ? IoResult::WouldBlock : IoResult::Failed;
+    }
+    if (size == 0) {
+        isDrained = true;
+        return IoResult::Closed;
+    }
+    bytes = {buffer.data(), static_cast<std::size_t>(size)};
+    // A short read has emptied the socket; what comes later is told by the loop.
+    isDrained = static_cast<std::size_t>(size) < buffer.size();
+    return IoResult::Done;
+}
+
+IoResult writeSome(int descriptor, std::string_view bytes, std::size_t &written)
+{
+    const auto size = send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (size < 0) {
+        written = 0;
+        return wouldBlock() ? IoResult::WouldBlock : IoResult::Failed;
+    }
+    written = static_cast<std::size_t>(size);
+    return IoResult::Done;
+}
+} // namespace figpulley::net
--- a/src/node/answerrelay.cpp
+++ b/src/node/answerrelay.cpp
@@ -4,7 +4,7 @@
 
 namespace figpulley::node
 {
-AnswerRelay::AnswerRelay(net::EventLoop &loop, net::HttpClient &client, std::shared_ptr<net::HttpExchange> exchange, Callbacks callbacks)
+AnswerRelay::AnswerRelay(net::EventLoop &loop, net::HttpSender &client, std::shared_ptr<net::HttpExchange> exchange, Callbacks callbacks)
     : loop(loop)
     , client(client)
     , exchange(std::move(exchange))
--- a/src/node/answerrelay.h
+++ b/src/node/answerrelay.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include "net/bodypipe.h"
-#include "net/httpclient.h"
-#include "net/httpserver.h"
+#include "net/eventloop.h"
+#include "net/httpexchange.h"
+#include "net/httpsender.h"
 
 #include <functional>
 #include <memory>
@@ -26,7 +27,7 @@
         std::function<void(const net::ClientResult &)> onDone; ///< the transfer has ended, in whole or not
     };
 
-    AnswerRelay(net::EventLoop &loop, net::HttpClient &client, std::shared_ptr<net::HttpExchange> exchange, Callbacks callbacks);
+    AnswerRelay(net::EventLoop &loop, net::HttpSender &client, std::shared_ptr<net::HttpExchange> exchange, Callbacks callbacks);
 
     /// Sends the request whose answer is passed on.
     void start(const net::ClientRequest &request);
@@ -56,7 +57,7 @@
     [[nodiscard]] net::Headers passedHeaders(const net::Headers &extra) const;
 
     net::EventLoop &loop;
-    net::HttpClient &client;
+    net::HttpSender &client;
     std::shared_ptr<net::HttpExchange> exchange;
     Callbacks callbacks;
     net::TransferId transfer {};
