Watches that are dropped silently, departures without incarnation, bounded log

Cause (cost): every refusal wrote its own line to standard error at once. Change: watch waits of 1 s for the configuration (longer in large zones, where nodes tell each other), a broken watch is followed by a list; a departure without incarnation ends all that started before; lines go to standard output through a bounded buffer, sampled by kind for idempotent requests only. Test for the departure failed before.

--- a/src/cli/runmesh.cpp
+++ b/src/cli/runmesh.cpp
@@ -3,6 +3,7 @@
 #include "cli/files.h"
 #include "cli/options.h"
 #include "cli/signalwatch.h"
+#include "core/boundedlog.h"
 #include "core/log.h"
 #include "mesh/meshnode.h"
 #include "platform/platformstore.h"
@@ -11,6 +12,7 @@
 #include <cstdlib>
 
 #include <fmt/format.h>
+#include <unistd.h>
 
 namespace figpulley::cli
 {
@@ -38,7 +40,14 @@
 int serve(const mesh::MeshSettings &settings)
 {
     core::setLogLevel(settings.logLevel);
+    core::BoundedLog lines(STDOUT_FILENO);
+    core::setLogSink(&lines);
     net::EventLoop loop;
+    loop.onTurnEnd([&] {
+        if (lines.isPending()) {
+            lines.flush();
+        }
+    });
     net::HttpClient client(loop);
     const platform::PlatformWire wire;
     platform::PlatformStore store(client, settings.store.toString());
@@ -58,6 +67,7 @@
     node.start();
     loop.run();
     core::log(cut == 0 ? core::LogLevel::Info : core::LogLevel::Warning, "node.stopped", {{"requests_cut", fmt::to_string(cut)}});
+    core::setLogSink(nullptr);
     return cut == 0 ? exitOk : exitFailed;
 }
 } // namespace
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -16,6 +16,7 @@
 {
 constexpr std::array<std::string_view, 5> levelNames {"debug", "info", "warning", "error", "off"};
 std::atomic<LogLevel> currentLevel {LogLevel::Info};
+std::atomic<LogSink *> currentSink {nullptr};
 
 bool needsQuotes(std::string_view text) noexcept
 {
@@ -49,6 +50,11 @@
     currentLevel.store(level, std::memory_order_relaxed);
 }
 
+void setLogSink(LogSink *sink) noexcept
+{
+    currentSink.store(sink);
+}
+
 bool isLogged(LogLevel level) noexcept
 {
     return level >= currentLevel.load(std::memory_order_relaxed);
@@ -70,6 +76,10 @@
         }
     }
     line += '\n';
-    fmt::print(stderr, "{}", line);
+    if (auto *sink = currentSink.load()) {
+        sink->write(line);
+    } else {
+        fmt::print(stdout, "{}", line);
+    }
 }
 } // namespace figpulley::core
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -33,7 +33,24 @@
 /// Whether a line of this level would be written; guards costly fields.
 [[nodiscard]] bool isLogged(LogLevel level) noexcept;
 
-/// Writes one `key=value` line to standard error, with the wall-clock time.
+/// Takes finished log lines.
+class LogSink
+{
+public:
+    virtual ~LogSink() = default;
+
+    /// @param line with its line feed
+    virtual void write(std::string_view line) = 0;
+
+    LogSink() = default;
+    LogSink(const LogSink &) = delete;
+    LogSink &operator=(const LogSink &) = delete;
+};
+
+/// Sends the process's lines to a sink; nullptr: to standard output at once.
+void setLogSink(LogSink *sink) noexcept;
+
+/// Writes one `key=value` line, with the wall-clock time.
 /// @param level severity
 /// @param event short fixed name of what happened
 /// @param fields further keys; values are quoted where needed
--- a/src/discovery/directory.cpp
+++ b/src/discovery/directory.cpp
@@ -1,5 +1,6 @@
 #include "discovery/directory.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace figpulley::discovery
@@ -88,6 +89,12 @@
     return this->nodes.size();
 }
 
+std::size_t Directory::countInZone(std::string_view zone) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->nodes.begin(), this->nodes.end(), [zone](const auto &entry) { return entry.second.record.zone == zone; }));
+}
+
 std::vector<const KnownEndpoint *> Directory::all() const
 {
     std::vector<const KnownEndpoint *> list;
--- a/src/discovery/directory.h
+++ b/src/discovery/directory.h
@@ -46,6 +46,9 @@
     /// Nodes that are known, whatever their endpoints' state.
     [[nodiscard]] std::size_t size() const noexcept;
 
+    /// Nodes of a zone, whatever their endpoints' state.
+    [[nodiscard]] std::size_t countInZone(std::string_view zone) const;
+
     /// All that is known, for a snapshot.
     [[nodiscard]] std::vector<const KnownEndpoint *> all() const;
 
--- a/src/discovery/localendpoint.cpp
+++ b/src/discovery/localendpoint.cpp
@@ -64,7 +64,7 @@
     return isSame ? Hearing::Unchanged : Hearing::Changed;
 }
 
-Hearing LocalEndpoint::leave(const Departure &departure, core::TimePoint now)
+Hearing LocalEndpoint::leave(const Departure &departure, core::TimePoint now, std::int64_t wallMs)
 {
     if (!this->known) {
         this->known = EndpointRecord {};
@@ -72,7 +72,8 @@
         this->known->service = this->identity.service;
         this->known->zone = this->identity.zone;
         this->known->id = departure.id;
-        this->known->incarnation = departure.incarnation;
+        // The one that left has started before now, and whatever takes its place starts later.
+        this->known->incarnation = departure.incarnation != 0 ? departure.incarnation : wallMs;
         this->known->state = EndpointState::Gone;
         this->heardAt = now;
         return Hearing::Changed;
--- a/src/discovery/localendpoint.h
+++ b/src/discovery/localendpoint.h
@@ -37,7 +37,8 @@
     [[nodiscard]] Hearing hear(const Announcement &announcement, core::TimePoint now);
 
     /// The endpoint has deregistered.
-    [[nodiscard]] Hearing leave(const Departure &departure, core::TimePoint now);
+    /// @param wallMs Unix milliseconds; stands for the incarnation where the departure tells none and no heartbeat was heard
+    [[nodiscard]] Hearing leave(const Departure &departure, core::TimePoint now, std::int64_t wallMs);
 
     /// The record that an earlier process of this node left in the store, or that there is none.
     /// @returns whether the record in memory is newer and has to be written
--- a/src/mesh/collectionfollower.cpp
+++ b/src/mesh/collectionfollower.cpp
@@ -14,19 +14,19 @@
 using namespace std::chrono_literals;
 using core::ErrorKind;
 
-constexpr core::Duration watchWait = 8s; // each watch is a call that is paid for; a stuck one is found after it
 constexpr core::Duration shortestBackoff = 150ms;
 constexpr core::Duration longestBackoff = 800ms; // under half of the 2 s within which the node has caught up after an outage
 constexpr int mostDoublings = 4;
 } // namespace
 
 CollectionFollower::CollectionFollower(store::CollectionStore &store, std::string collection, CollectionListener listener, Scheduler later,
-                                       core::Random &random, core::Duration pause)
+                                       core::Random &random, std::function<core::Duration()> wait, core::Duration pause)
     : store(store)
     , collection(std::move(collection))
     , listener(std::move(listener))
     , later(std::move(later))
     , random(random)
+    , wait(std::move(wait))
     , pause(pause)
 {
 }
@@ -80,7 +80,7 @@
 
 void CollectionFollower::watch()
 {
-    this->store.watch(this->collection, this->revision, watchWait, [weak = this->weak_from_this()](const store::CollectionItems &changes) {
+    this->store.watch(this->collection, this->revision, this->wait(), [weak = this->weak_from_this()](const store::CollectionItems &changes) {
         if (const auto self = weak.lock()) {
             self->watched(changes);
         }
@@ -96,7 +96,13 @@
     }
     this->noteReachable(changes.kind == ErrorKind::None);
     if (changes.kind != ErrorKind::None) {
-        this->retry([](CollectionFollower &self) { self.watch(); });
+        // What a watch that broke off has missed is read at once: a list is never behind.
+        if (this->failures == 0) {
+            this->failures = 1;
+            this->list({});
+            return;
+        }
+        this->retry([](CollectionFollower &self) { self.list({}); });
         return;
     }
     for (const auto &item : changes.items) {
--- a/src/mesh/collectionfollower.h
+++ b/src/mesh/collectionfollower.h
@@ -24,9 +24,10 @@
 public:
     using Scheduler = std::function<void(core::Duration, std::function<void()>)>;
 
+    /// @param wait of the next watch; a watch that the store has dropped without a word is found after it
     /// @param pause after changes before the next watch, in which further changes gather
     CollectionFollower(store::CollectionStore &store, std::string collection, CollectionListener listener, Scheduler later,
-                       core::Random &random, core::Duration pause);
+                       core::Random &random, std::function<core::Duration()> wait, core::Duration pause);
 
     void start();
 
@@ -46,6 +47,7 @@
     CollectionListener listener;
     Scheduler later;
     core::Random &random;
+    std::function<core::Duration()> wait;
     core::Duration pause;
     std::unordered_set<std::string> names;
     std::uint64_t listRevision = 0;
--- a/src/mesh/gateface.cpp
+++ b/src/mesh/gateface.cpp
@@ -94,18 +94,31 @@
         auto answer = node::ownAnswer(outcome, retryAfter);
         answer.headers.push_back({std::string(node::outcomeHeader), encode(report)});
         this->exchange->answer(std::move(answer));
+        this->logRefusal(report);
+        this->face.context.metrics.countIngress(this->head.service, kind, core::steadyNow() - this->arrived);
+        this->face.runs.erase(core::value(this->id));
+    }
+
+    void logRefusal(const AttemptReport &report) const
+    {
+        const auto kindName = core::answerFor(report.kind).name;
+        const auto leftOut = this->head.isIdempotent ? this->face.context.sampler.take(kindName, core::steadyNow()) : std::optional<std::uint64_t>(0);
+        if (!leftOut) {
+            return;
+        }
         core::log(core::LogLevel::Info, "attempt.refused",
                   {{"id", this->requestId},
-                   {"kind", std::string(core::answerFor(kind).name)},
-                   {"ran", std::string(core::name(ran))},
+                   {"kind", std::string(kindName)},
+                   {"ran", std::string(core::name(report.ran))},
                    {"service", this->head.service},
+                   {"endpoint", this->head.endpointId},
+                   {"origin", this->head.originNode},
                    {"running", fmt::to_string(report.load.running)},
                    {"waiting", fmt::to_string(report.load.waiting)},
                    {"slots", fmt::to_string(report.load.slots)},
                    {"waited_ms", fmt::to_string(core::toMilliseconds(core::steadyNow() - this->arrived))},
-                   {"retry_after_ms", fmt::to_string(core::toMilliseconds(retryAfter))}});
-        this->face.context.metrics.countIngress(this->head.service, kind, core::steadyNow() - this->arrived);
-        this->face.runs.erase(core::value(this->id));
+                   {"retry_after_ms", fmt::to_string(core::toMilliseconds(report.retryAfter))},
+                   {"left_out", fmt::to_string(*leftOut)}});
     }
 
     void run()
--- a/src/mesh/localrecorder.cpp
+++ b/src/mesh/localrecorder.cpp
@@ -25,6 +25,11 @@
 constexpr core::Duration longestBackoff = 500ms; // the record is back within 2 s of the store's return
 constexpr int mostDoublings = 3;
 constexpr int silentIntervals = 4; // heartbeats that may be missing: single ones come seconds late
+
+std::int64_t wallMilliseconds()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
 } // namespace
 
 LocalRecorder::LocalRecorder(MeshContext context, std::function<void()> onClosed)
@@ -121,7 +126,7 @@
 {
     auto &local = this->context.board.local.write();
     const bool wasOpen = local.isOpen();
-    const auto hearing = local.leave(departure, core::steadyNow());
+    const auto hearing = local.leave(departure, core::steadyNow(), wallMilliseconds());
     if (hearing == Hearing::Changed) {
         this->logRecord("deregistered");
         this->changed();
--- a/src/mesh/meshcontext.h
+++ b/src/mesh/meshcontext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/logsampler.h"
 #include "core/random.h"
 #include "mesh/fwd.h"
 #include "net/eventloop.h"
@@ -22,5 +23,6 @@
     MeshBoard &board;
     core::Random &random;
     node::NodeMetrics &metrics;
+    core::LogSampler &sampler; ///< of lines about idempotent requests; those about others are never left out
 };
 } // namespace figpulley::mesh
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "mesh/wireformat.h"
 
+#include <algorithm>
 #include <chrono>
 #include <random>
 #include <utility>
@@ -20,6 +21,13 @@
 constexpr core::Duration quietBeforeEnd = 300ms;
 constexpr core::Duration graceMargin = 300ms; // the process ends before it is killed
 constexpr core::Duration endpointsPause = 150ms; // changes of endpoints come in series; the gates are exact meanwhile
+constexpr core::Duration routesWatchWait = 1s; // a change has to be in force within 2 s, and a watch may be dropped without a word
+constexpr core::Duration endpointsWatchWait = 4s;
+constexpr core::Duration longestWatchWait = 30s; // the store takes no longer ones
+constexpr core::Duration watchWaitPerNode = 250ms; // of the own zone: four watches a second and zone
+constexpr double watchJitter = 0.2; // nodes that start together spread out
+constexpr double sampledLinesPerSecond = 10; // of one kind of refusal; some 3 KB/s
+constexpr double sampledLinesAtOnce = 30;
 
 std::uint64_t systemSeed()
 {
@@ -34,8 +42,9 @@
     , settings(std::move(nodeSettings))
     , wire(wire)
     , random(systemSeed())
+    , sampler(sampledLinesPerSecond, sampledLinesAtOnce)
     , relay(loop)
-    , context {loop, client, this->relay, this->settings, wire, store, this->blackboard, this->random, this->metrics}
+    , context {loop, client, this->relay, this->settings, wire, store, this->blackboard, this->random, this->metrics, this->sampler}
     , config(this->blackboard, wire)
     , directory(this->blackboard)
     , snapshots(this->context, this->config, this->directory)
@@ -52,12 +61,24 @@
 
 MeshNode::~MeshNode() = default;
 
-std::shared_ptr<CollectionFollower> MeshNode::follow(const std::string &collection, CollectionListener listener, core::Duration pause)
+// The nodes of a zone share the work of watching: whichever hears of a newer configuration first tells the others with its next
+// requests. So each node's watch may be the longer, the more nodes its zone has; the store's load does not grow with the fleet.
+core::Duration MeshNode::watchWait(core::Duration shortest)
+{
+    const auto inZone = this->blackboard.directory.read().countInZone(this->settings.availabilityZone);
+    const auto shared = watchWaitPerNode * static_cast<std::int64_t>(inZone);
+    const auto wait = std::clamp(shared, shortest, longestWatchWait);
+    return std::chrono::duration_cast<core::Duration>(wait * (1 - watchJitter * core::uniform(this->random)));
+}
+
+std::shared_ptr<CollectionFollower> MeshNode::follow(const std::string &collection, CollectionListener listener,
+                                                     core::Duration shortestWait, core::Duration pause)
 {
     auto &eventLoop = this->loop;
     const auto later = [&eventLoop](core::Duration delay, std::function<void()> callback) { eventLoop.after(delay, std::move(callback)); };
     auto follower =
-        std::make_shared<CollectionFollower>(this->context.store, collection, std::move(listener), later, this->random, pause);
+        std::make_shared<CollectionFollower>(this->context.store, collection, std::move(listener), later, this->random,
+                                             [this, shortestWait] { return this->watchWait(shortestWait); }, pause);
     follower->start();
     return follower;
 }
@@ -71,7 +92,7 @@
         }
     };
     routes.onListed = [](const std::unordered_set<std::string> &, std::uint64_t) {};
-    this->routesFollower = this->follow(this->wire.routesCollection(), std::move(routes), core::Duration {});
+    this->routesFollower = this->follow(this->wire.routesCollection(), std::move(routes), routesWatchWait, core::Duration {});
 
     CollectionListener endpoints;
     endpoints.onItem = [this](const store::CollectionItem &item) {
@@ -84,7 +105,7 @@
     endpoints.onListed = [this](const std::unordered_set<std::string> &names, std::uint64_t revision) {
         this->directory.retain(names, revision);
     };
-    this->endpointsFollower = this->follow(LocalRecorder::collection, std::move(endpoints), endpointsPause);
+    this->endpointsFollower = this->follow(LocalRecorder::collection, std::move(endpoints), endpointsWatchWait, endpointsPause);
     this->recorder->start();
     core::log(core::LogLevel::Info, "node.started",
               {{"name", this->settings.name},
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -41,7 +41,8 @@
     void checkStop();
     [[nodiscard]] std::size_t inFlight() const noexcept;
     [[nodiscard]] std::shared_ptr<CollectionFollower> follow(const std::string &collection, CollectionListener listener,
-                                                             core::Duration pause);
+                                                             core::Duration shortestWait, core::Duration pause);
+    [[nodiscard]] core::Duration watchWait(core::Duration shortest);
 
     net::EventLoop &loop;
     MeshSettings settings;
@@ -49,6 +50,7 @@
     core::Random random;
     MeshBoard blackboard;
     node::NodeMetrics metrics;
+    core::LogSampler sampler;
     net::RelayClient relay;
     MeshContext context;
     ConfigKeeper config;
--- a/src/mesh/outboundface.cpp
+++ b/src/mesh/outboundface.cpp
@@ -293,19 +293,31 @@
         }
         const auto status = answer.status;
         this->exchange->answer(std::move(answer));
+        this->logRefusal(kind, outcome.ran, status, retryAfter);
+        this->answered(kind, status);
+    }
+
+    void logRefusal(ErrorKind kind, Ran ran, int status, core::Duration retryAfter) const
+    {
+        const auto kindName = core::answerFor(kind).name;
+        const bool isSampled = this->route == nullptr || this->route->isIdempotent();
+        const auto leftOut = isSampled ? this->face.context.sampler.take(kindName, core::steadyNow()) : std::optional<std::uint64_t>(0);
+        if (!leftOut) {
+            return;
+        }
         core::log(core::LogLevel::Info, "call.refused",
                   {{"id", this->requestId},
                    {"route", this->route != nullptr ? this->route->name : std::string()},
                    {"service", this->service},
-                   {"kind", std::string(core::answerFor(kind).name)},
-                   {"ran", std::string(core::name(outcome.ran))},
+                   {"kind", std::string(kindName)},
+                   {"ran", std::string(core::name(ran))},
                    {"status", fmt::to_string(status)},
                    {"attempts", fmt::to_string(this->tried.size())},
                    {"last_node", this->node},
                    {"after_ms", fmt::to_string(core::toMilliseconds(core::steadyNow() - this->arrived))},
                    {"retry_after_ms", fmt::to_string(core::toMilliseconds(retryAfter))},
-                   {"config_version", fmt::to_string(this->table ? this->table->version() : 0)}});
-        this->answered(kind, status);
+                   {"config_version", fmt::to_string(this->table ? this->table->version() : 0)},
+                   {"left_out", fmt::to_string(*leftOut)}});
     }
 
     void answered(ErrorKind kind, int status)
--- a/src/platform/platformstore.cpp
+++ b/src/platform/platformstore.cpp
@@ -20,7 +20,7 @@
 
 constexpr core::Duration callTimeout = 1500ms; // the store answers in 4 ms, and in some 400 ms when it is slow
 constexpr core::Duration connectTimeout = 700ms;
-constexpr core::Duration watchMargin = 1500ms; // beyond the wait that the watch asked for
+constexpr core::Duration watchMargin = 500ms; // beyond the wait that the watch asked for; a slow store needs some 250 ms
 constexpr core::Duration silence = 2s; // a connection that acknowledges nothing for so long is given up
 constexpr std::size_t largestAnswer = 8UL << 20U; // a page is 1 MB at most, an object as well
 constexpr int httpOk = 200;
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -60,7 +60,7 @@
         story.check(!local.isOpen(), "from then on nothing may reach it");
         story.equal(local.hear(heartbeat(100, 4), after(4s)), Hearing::Unchanged, "a ready heartbeat does not take that back");
         story.check(!local.isOpen(), "whatever its number");
-        story.equal(local.leave({"i-1", 100}, after(5s)), Hearing::Changed, "it deregisters");
+        story.equal(local.leave({"i-1", 100}, after(5s), 5000), Hearing::Changed, "it deregisters");
         story.equal(local.record()->state, EndpointState::Gone, "and is gone");
     });
     story.section("a late heartbeat", [&] {
@@ -79,7 +79,7 @@
         static_cast<void>(local.hear(heartbeat(100, 50, true), after(1s)));
         story.equal(local.hear(heartbeat(300, 1), after(2s)), Hearing::Changed, "with counts that start anew");
         story.check(local.isOpen(), "and takes requests");
-        story.equal(local.leave({"i-1", 100}, after(3s)), Hearing::Stale, "its predecessor's departure is too late");
+        story.equal(local.leave({"i-1", 100}, after(3s), 3000), Hearing::Stale, "its predecessor's departure is too late");
         story.check(local.isOpen(), "and does not close it");
     });
     story.section("heartbeats stay away", [&] {
@@ -123,6 +123,15 @@
         static_cast<void>(local.hear(heartbeat(100, 8), after(1s)));
         story.check(local.isOpen(), "two heartbeats in a row open the gate");
     });
+    story.section("the endpoint leaves before the store can be read", [&] {
+        auto local = localEndpoint();
+        story.equal(local.leave({"i-1", 0}, after(0s), 5000), Hearing::Changed, "and does not tell its incarnation");
+        story.check(local.adopt(recordOf(100, EndpointState::Ready), after(1s)), "the stored record is older");
+        story.check(!local.isOpen(), "and does not bring it back");
+        story.equal(local.hear(heartbeat(100, 9), after(2s)), Hearing::Stale, "nor does a late heartbeat");
+        story.equal(local.hear(heartbeat(6000, 1), after(8s)), Hearing::Changed, "the next incarnation is heard");
+        story.check(local.isOpen(), "and takes requests");
+    });
     story.section("the store has it ready", [&] {
         auto local = localEndpoint();
         story.check(!local.adopt(recordOf(100, EndpointState::Ready), after(0s)), "nothing has to be written");
