Refusals by an endpoint itself draw on the retry budget; compact header between nodes

Ruled out: refusals of our own gates, which never reach an endpoint. Change: refusals by the endpoint have a kind of their own and take a repeat out of the share; the header is a list of fields.

--- a/src/core/errorkind.h
+++ b/src/core/errorkind.h
@@ -48,6 +48,7 @@
     ConfigurationMissing,
     HistoryGone,
     Stopping,
+    UpstreamRefused,
 };
 
 /// What figpulley answers for one error kind.
@@ -62,7 +63,7 @@
 };
 
 /// The closed table from kind to answer, in the order of the enumeration.
-[[nodiscard]] const std::array<ErrorAnswer, 29> &errorTable() noexcept;
+[[nodiscard]] const std::array<ErrorAnswer, 30> &errorTable() noexcept;
 
 /// Looks up the answer for a kind.
 /// @param kind any kind
--- a/src/mesh/attempthead.cpp
+++ b/src/mesh/attempthead.cpp
@@ -1,93 +1,103 @@
 #include "mesh/attempthead.h"
 
-#include <chrono>
-
-#include <nlohmann/json.hpp>
+#include "text/fieldlist.h"
 
 namespace figpulley::mesh
 {
 namespace
 {
-using nlohmann::json;
+// These are written and read four times for each request on its way. JSON took more than half of a node's instructions.
+constexpr std::size_t headFields = 10;
+constexpr std::size_t reportFields = 7;
 
-std::int64_t microseconds(core::Duration duration)
+template<class Number>
+bool readDuration(std::string_view field, core::Duration &duration)
 {
-    return duration.count();
+    Number microseconds = 0;
+    if (!text::readNumber(field, microseconds)) {
+        return false;
+    }
+    duration = core::Duration(microseconds);
+    return true;
 }
 
-std::string dump(const json &object)
+bool readFlag(std::string_view field, bool &flag)
 {
-    return object.dump(-1, ' ', true, json::error_handler_t::replace);
+    int number = 0;
+    if (!text::readNumber(field, number) || number < 0 || number > 1) {
+        return false;
+    }
+    flag = number == 1;
+    return true;
 }
 } // namespace
 
 std::string encode(const AttemptHead &head)
 {
-    return dump({
-        {"endpoint", head.endpointId},
-        {"service", head.service},
-        {"origin", head.originService},
-        {"node", head.originNode},
-        {"priority", head.priority},
-        {"idempotent", head.isIdempotent},
-        {"nested", head.isNested},
-        {"remaining_us", microseconds(head.remaining)},
-        {"objective_us", microseconds(head.objectiveLeft)},
-        {"version", head.configVersion},
-    });
+    text::FieldWriter fields;
+    fields.add(head.endpointId);
+    fields.add(head.service);
+    fields.add(head.originService);
+    fields.add(head.originNode);
+    fields.add(head.priority);
+    fields.add(head.isIdempotent ? 1 : 0);
+    fields.add(head.isNested ? 1 : 0);
+    fields.add(head.remaining.count());
+    fields.add(head.objectiveLeft.count());
+    fields.add(head.configVersion);
+    return fields.take();
 }
 
 std::string encode(const AttemptReport &report)
 {
-    return dump({
-        {"kind", core::answerFor(report.kind).name},
-        {"ran", static_cast<int>(report.ran)},
-        {"retry_us", microseconds(report.retryAfter)},
-        {"load", {report.load.running, report.load.waiting, report.load.slots}},
-        {"version", report.configVersion},
-    });
+    text::FieldWriter fields;
+    fields.add(core::answerFor(report.kind).name);
+    fields.add(static_cast<int>(report.ran));
+    fields.add(report.retryAfter.count());
+    fields.add(report.load.running);
+    fields.add(report.load.waiting);
+    fields.add(report.load.slots);
+    fields.add(report.configVersion);
+    return fields.take();
 }
 
 std::optional<AttemptHead> decodeAttemptHead(std::string_view text)
 {
-    try {
-        const auto object = json::parse(text);
-        AttemptHead head;
-        head.endpointId = object.at("endpoint").get<std::string>();
-        head.service = object.at("service").get<std::string>();
-        head.originService = object.at("origin").get<std::string>();
-        head.originNode = object.at("node").get<std::string>();
-        head.priority = object.at("priority").get<int>();
-        head.isIdempotent = object.at("idempotent").get<bool>();
-        head.isNested = object.at("nested").get<bool>();
-        head.remaining = core::Duration(object.at("remaining_us").get<std::int64_t>());
-        head.objectiveLeft = core::Duration(object.at("objective_us").get<std::int64_t>());
-        head.configVersion = object.at("version").get<std::uint64_t>();
-        return head;
-    } catch (const json::exception &) {
+    const auto fields = text::splitFields<headFields>(text);
+    if (!fields) {
         return std::nullopt;
     }
+    AttemptHead head;
+    const auto &field = *fields;
+    head.endpointId = text::unescape(field[0]);
+    head.service = text::unescape(field[1]);
+    head.originService = text::unescape(field[2]);
+    head.originNode = text::unescape(field[3]);
+    const bool isValid = text::readNumber(field[4], head.priority) && readFlag(field[5], head.isIdempotent)
+        && readFlag(field[6], head.isNested) && readDuration<std::int64_t>(field[7], head.remaining)
+        && readDuration<std::int64_t>(field[8], head.objectiveLeft) && text::readNumber(field[9], head.configVersion);
+    return isValid ? std::optional(std::move(head)) : std::nullopt;
 }
 
 std::optional<AttemptReport> decodeAttemptReport(std::string_view text)
 {
-    try {
-        const auto object = json::parse(text);
-        AttemptReport report;
-        const auto kind = core::errorKindFromName(object.at("kind").get<std::string>());
-        const auto ran = object.at("ran").get<int>();
-        if (!kind || ran < 0 || ran > static_cast<int>(core::Ran::Yes)) {
-            return std::nullopt;
-        }
-        report.kind = *kind;
-        report.ran = static_cast<core::Ran>(ran);
-        report.retryAfter = core::Duration(object.at("retry_us").get<std::int64_t>());
-        const auto &load = object.at("load");
-        report.load = {load.at(0).get<int>(), load.at(1).get<int>(), load.at(2).get<int>()};
-        report.configVersion = object.at("version").get<std::uint64_t>();
-        return report;
-    } catch (const json::exception &) {
+    const auto fields = text::splitFields<reportFields>(text);
+    if (!fields) {
+        return std::nullopt;
+    }
+    AttemptReport report;
+    const auto &field = *fields;
+    const auto kind = core::errorKindFromName(field[0]);
+    int ran = 0;
+    const bool isValid = kind && text::readNumber(field[1], ran) && ran >= 0 && ran <= static_cast<int>(core::Ran::Yes)
+        && readDuration<std::int64_t>(field[2], report.retryAfter) && text::readNumber(field[3], report.load.running)
+        && text::readNumber(field[4], report.load.waiting) && text::readNumber(field[5], report.load.slots)
+        && text::readNumber(field[6], report.configVersion);
+    if (!isValid) {
         return std::nullopt;
     }
+    report.kind = *kind;
+    report.ran = static_cast<core::Ran>(ran);
+    return report;
 }
 } // namespace figpulley::mesh
--- a/src/mesh/gateface.cpp
+++ b/src/mesh/gateface.cpp
@@ -218,7 +218,7 @@
             return;
         }
         if (reply.isNotRun) {
-            this->fail(ErrorKind::NotServing, fmt::format("the endpoint refused with {}", status));
+            this->fail(ErrorKind::UpstreamRefused, fmt::format("the endpoint refused with {}", status));
             return;
         }
         this->prepareFailure(reply);
--- a/src/mesh/outboundface.cpp
+++ b/src/mesh/outboundface.cpp
@@ -235,8 +235,10 @@
         }
         const bool isAllowed = ran == Ran::No || (this->route->isIdempotent() && this->runs < this->route->mostAttempts);
         const bool hasTime = this->deadline - now > shortestUsefulTime && static_cast<int>(this->tried.size()) < mostHops;
+        // Whatever has arrived at an endpoint counts against the budget that all nodes share, also if the endpoint refused it.
+        const bool hasArrived = ran != Ran::No || kind == ErrorKind::UpstreamRefused;
         const bool isPaid = isAllowed && hasTime
-            && (ran == Ran::No || this->face.retryBudget.take(this->service, this->face.context.board.directory.read().size(), now));
+            && (!hasArrived || this->face.retryBudget.take(this->service, this->face.context.board.directory.read().size(), now));
         if (!isPaid) {
             this->giveUp(kind, retryAfter);
             return;
--- a/src/routing/retrybudget.cpp
+++ b/src/routing/retrybudget.cpp
@@ -10,7 +10,7 @@
 
 // Part of the bound that is spent: nodes count in windows of their own, and a repeated run repeats its nested calls, which
 // cannot be told from first ones by the nodes that pass them on.
-constexpr double spentShare = 0.4;
+constexpr double spentShare = 0.6;
 } // namespace
 
 RetryBudget::RetryBudget(RetryBudgetRules rules)
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -221,7 +221,7 @@
 {
     tests::holds("an attempt's head is read as it was written", [] {
         mesh::AttemptHead head;
-        head.endpointId = *rc::gen::container<std::string>(rc::gen::inRange('a', 'z'));
+        head.endpointId = *rc::gen::arbitrary<std::string>();
         head.service = "motivi";
         head.priority = *rc::gen::inRange(0, 9);
         head.isIdempotent = *rc::gen::arbitrary<bool>();
