Chains keep the rank of their root: queue order and repeats go by it

Change: the node beside an endpoint knows which request a call belongs to and hands the root's rank down; the slot queue and the retry budget go by it, whole chains at a time, and calls of a repeated run count as repeats. Nested calls have their whole deadline, not their objective.

--- a/src/gate/slotqueue.cpp
+++ b/src/gate/slotqueue.cpp
@@ -15,12 +15,11 @@
 constexpr double runTimeWeight = 0.05; // of the newest run in the moving average
 constexpr Duration assumedRun = 50ms; // before the first run has ended
 constexpr Duration shortestRetryAfter = 100ms; // below it a caller comes back before anything has changed
-constexpr int nestedUrgency = -1;
 constexpr std::size_t longestQueue = 4096; // bounds memory; far more than can be answered in time
 
-int urgencyOf(const QueuedRequest &request)
+std::uint32_t urgencyOf(const QueuedRequest &request)
 {
-    return request.isNested ? nestedUrgency : request.priority;
+    return 2 * (core::Rank::maximumLevels - request.rank.level()) + (request.isNested ? 0 : 1);
 }
 
 Duration fromSeconds(double seconds)
@@ -34,7 +33,7 @@
     this->slotCount = std::max(1, slots);
 }
 
-Duration SlotQueue::meanRun() const
+Duration SlotQueue::meanRun() const noexcept
 {
     return this->meanRunSeconds > 0 ? fromSeconds(this->meanRunSeconds) : assumedRun;
 }
--- a/src/gate/slotqueue.h
+++ b/src/gate/slotqueue.h
@@ -2,6 +2,7 @@
 
 #include "core/errorkind.h"
 #include "core/ids.h"
+#include "core/rank.h"
 #include "core/time.h"
 
 #include <cstdint>
@@ -15,7 +16,7 @@
 struct QueuedRequest
 {
     core::EntryId entry {};
-    int priority = 0; ///< 0 is the most urgent
+    core::Rank rank; ///< of the root; larger is more urgent
     bool isNested = false; ///< made by an endpoint while it runs another request
     core::TimePoint arrived {};
     core::TimePoint target {}; ///< an answer after it has less worth
@@ -37,8 +38,8 @@
     core::Duration retryAfter {}; ///< when room is expected, for a refused request
 };
 
-/// Gives out the slots of one endpoint: nested calls first, since a running request waits for them; then by priority, then in the order
-/// of arrival. A request that cannot be answered in time any more is refused at once and never run.
+/// Gives out the slots of one endpoint by the priority of the root; within it nested calls come first, since a running request waits
+/// for them, then the order of arrival counts. A request that cannot be answered in time any more is refused at once and never run.
 class SlotQueue
 {
 public:
@@ -63,6 +64,9 @@
     /// Refuses all that wait.
     [[nodiscard]] std::vector<SlotDecision> clear(core::ErrorKind refusal);
 
+    /// Moving average of the time that a request runs.
+    [[nodiscard]] core::Duration meanRun() const noexcept;
+
     [[nodiscard]] int running() const noexcept;
     [[nodiscard]] int waiting() const noexcept;
     [[nodiscard]] int slots() const noexcept;
@@ -73,13 +77,12 @@
 private:
     struct Key
     {
-        int urgency = 0; // -1 for nested calls, then the priority
+        std::uint32_t urgency = 0; // smaller is served first
         std::uint64_t sequence = 0;
 
         [[nodiscard]] auto operator<=>(const Key &) const = default;
     };
 
-    [[nodiscard]] core::Duration meanRun() const;
     [[nodiscard]] SlotDecision refuse(const QueuedRequest &request, core::ErrorKind kind) const;
 
     int slotCount = 1;
--- a/src/mesh/attempthead.cpp
+++ b/src/mesh/attempthead.cpp
@@ -7,7 +7,7 @@
 namespace
 {
 // These are written and read four times for each request on its way. JSON took more than half of a node's instructions.
-constexpr std::size_t headFields = 10;
+constexpr std::size_t headFields = 11;
 constexpr std::size_t reportFields = 7;
 
 template<class Number>
@@ -39,7 +39,8 @@
     fields.add(head.service);
     fields.add(head.originService);
     fields.add(head.originNode);
-    fields.add(head.priority);
+    fields.add(head.rank.value());
+    fields.add(head.isRepeat ? 1 : 0);
     fields.add(head.isIdempotent ? 1 : 0);
     fields.add(head.isNested ? 1 : 0);
     fields.add(head.remaining.count());
@@ -73,9 +74,11 @@
     head.service = text::unescape(field[1]);
     head.originService = text::unescape(field[2]);
     head.originNode = text::unescape(field[3]);
-    const bool isValid = text::readNumber(field[4], head.priority) && readFlag(field[5], head.isIdempotent)
-        && readFlag(field[6], head.isNested) && readDuration<std::int64_t>(field[7], head.remaining)
-        && readDuration<std::int64_t>(field[8], head.objectiveLeft) && text::readNumber(field[9], head.configVersion);
+    std::uint32_t rank = 0;
+    const bool isValid = text::readNumber(field[4], rank) && readFlag(field[5], head.isRepeat) && readFlag(field[6], head.isIdempotent)
+        && readFlag(field[7], head.isNested) && readDuration<std::int64_t>(field[8], head.remaining)
+        && readDuration<std::int64_t>(field[9], head.objectiveLeft) && text::readNumber(field[10], head.configVersion);
+    head.rank = core::Rank(rank);
     return isValid ? std::optional(std::move(head)) : std::nullopt;
 }
 
--- a/src/mesh/attempthead.h
+++ b/src/mesh/attempthead.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/errorkind.h"
+#include "core/rank.h"
 #include "core/time.h"
 #include "routing/endpointpicker.h"
 
@@ -18,7 +19,8 @@
     std::string service; ///< that the request is for
     std::string originService; ///< of the VM where the request began
     std::string originNode; ///< ip:port of the ingress of the sender
-    int priority = 0;
+    core::Rank rank; ///< of the root; larger is more urgent
+    bool isRepeat = false; ///< an earlier attempt of this request, or of one that led to it, may have run
     bool isIdempotent = false;
     bool isNested = false; ///< made by an endpoint while it runs another request
     core::Duration remaining {}; ///< until the deadline, at sending
--- a/src/mesh/gateface.cpp
+++ b/src/mesh/gateface.cpp
@@ -61,7 +61,7 @@
     {
         return {
             .entry = this->id,
-            .priority = this->head.priority,
+            .rank = this->head.rank,
             .isNested = this->head.isNested,
             .arrived = this->arrived,
             .target = this->arrived + this->head.objectiveLeft,
@@ -126,6 +126,7 @@
         auto &context = this->face.context;
         const auto &incoming = this->exchange->request();
         this->started = core::steadyNow();
+        this->face.chainTable.begin(this->requestId, {this->head.rank, this->head.isRepeat});
         net::ClientRequest request;
         request.method = incoming.method;
         request.url = fmt::format("http://{}{}{}", context.settings.upstream.toString(), incoming.path, incoming.query);
@@ -238,6 +239,7 @@
                    {"ran_ms", fmt::to_string(core::toMilliseconds(core::steadyNow() - this->started))},
                    {"detail", detail}});
         const auto keepAlive = this->shared_from_this();
+        this->face.chainTable.end(this->requestId);
         const auto decisions = this->face.queue.finish(core::Duration {}, core::steadyNow());
         this->refuse(kind, ran, refusedRetryAfter);
         this->face.carryOut(decisions);
@@ -246,6 +248,7 @@
     void close(ErrorKind kind)
     {
         const auto now = core::steadyNow();
+        this->face.chainTable.end(this->requestId);
         const auto ranFor = kind == ErrorKind::None ? now - this->started : core::Duration {};
         this->face.context.metrics.countIngress(this->head.service, kind, now - this->arrived);
         this->face.runs.erase(core::value(this->id));
@@ -301,6 +304,16 @@
     return {this->queue.running(), this->queue.waiting(), this->queue.slots()};
 }
 
+const routing::ChainTable &GateFace::chains() const noexcept
+{
+    return this->chainTable;
+}
+
+core::Duration GateFace::meanRun() const noexcept
+{
+    return this->queue.meanRun();
+}
+
 ErrorKind GateFace::check(const AttemptHead &head) const
 {
     if (this->context.board.lifecycle.read().isStopping) {
--- a/src/mesh/gateface.h
+++ b/src/mesh/gateface.h
@@ -5,6 +5,7 @@
 #include "mesh/meshcontext.h"
 #include "mesh/snapshotexchange.h"
 #include "net/relayserver.h"
+#include "routing/chaintable.h"
 
 #include <memory>
 #include <unordered_map>
@@ -25,6 +26,14 @@
     /// The endpoint takes no new requests any more: refuses those that wait.
     void closeGate();
 
+    [[nodiscard]] routing::EndpointLoad load() const noexcept;
+
+    /// Requests that the endpoint runs now.
+    [[nodiscard]] const routing::ChainTable &chains() const noexcept;
+
+    /// Moving average of the time that the endpoint takes.
+    [[nodiscard]] core::Duration meanRun() const noexcept;
+
     /// Attempts that run or wait.
     [[nodiscard]] std::size_t inFlight() const noexcept;
 
@@ -35,11 +44,10 @@
     [[nodiscard]] core::ErrorKind check(const AttemptHead &head) const;
     void carryOut(const std::vector<gate::SlotDecision> &decisions);
     void armExpiry();
-    [[nodiscard]] routing::EndpointLoad load() const noexcept;
-
     MeshContext context;
     SnapshotExchange &snapshots;
     gate::SlotQueue queue;
+    routing::ChainTable chainTable;
     std::unordered_map<std::uint64_t, std::shared_ptr<Run>> runs;
     std::uint64_t nextEntry = 1;
     net::EventLoop::TimerId expiryTimer = net::EventLoop::noTimer;
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -21,6 +21,7 @@
 constexpr core::Duration quietBeforeEnd = 300ms;
 constexpr core::Duration graceMargin = 300ms; // the process ends before it is killed
 constexpr core::Duration endpointsPause = 150ms; // changes of endpoints come in series; the gates are exact meanwhile
+constexpr core::Duration loadInterval = 2s; // between two lines about the node's load
 constexpr core::Duration routesWatchWait = 1s; // a change has to be in force within 2 s, and a watch may be dropped without a word
 constexpr core::Duration endpointsWatchWait = 4s;
 constexpr core::Duration longestWatchWait = 30s; // the store takes no longer ones
@@ -55,7 +56,7 @@
         }
     });
     this->gate = std::make_unique<GateFace>(this->context, this->snapshots);
-    this->outbound = std::make_unique<OutboundFace>(this->context, this->snapshots);
+    this->outbound = std::make_unique<OutboundFace>(this->context, this->snapshots, this->gate->chains());
     this->control = std::make_unique<ControlFace>(this->context, *this->recorder, [this] { return this->isReady(); });
 }
 
@@ -107,6 +108,7 @@
     };
     this->endpointsFollower = this->follow(LocalRecorder::collection, std::move(endpoints), endpointsWatchWait, endpointsPause);
     this->recorder->start();
+    this->reportLoad();
     core::log(core::LogLevel::Info, "node.started",
               {{"name", this->settings.name},
                {"zone", this->settings.availabilityZone},
@@ -116,6 +118,25 @@
                {"store", this->settings.store.toString()}});
 }
 
+void MeshNode::reportLoad()
+{
+    const auto busy = this->loop.takeBusyShare();
+    const auto load = this->gate->load();
+    this->metrics.setGauge("figpulley_loop_busy_share", busy);
+    this->metrics.setGauge("figpulley_requests_in_flight", static_cast<double>(this->outbound->inFlight()));
+    this->metrics.setGauge("figpulley_slots_taken", load.running);
+    this->metrics.setGauge("figpulley_requests_waiting", load.waiting);
+    core::log(core::LogLevel::Info, "node.load",
+              {{"busy", fmt::format("{:.2f}", busy)},
+               {"in_flight", fmt::to_string(this->outbound->inFlight())},
+               {"running", fmt::to_string(load.running)},
+               {"waiting", fmt::to_string(load.waiting)},
+               {"slots", fmt::to_string(load.slots)},
+               {"mean_run_ms", fmt::to_string(core::toMilliseconds(this->gate->meanRun()))},
+               {"endpoints", fmt::to_string(this->blackboard.directory.read().size())}});
+    this->loop.after(loadInterval, [this] { this->reportLoad(); });
+}
+
 bool MeshNode::isReady() const noexcept
 {
     return this->blackboard.config.read().table != nullptr && !this->blackboard.lifecycle.read().isStopping;
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -39,6 +39,7 @@
 
 private:
     void checkStop();
+    void reportLoad();
     [[nodiscard]] std::size_t inFlight() const noexcept;
     [[nodiscard]] std::shared_ptr<CollectionFollower> follow(const std::string &collection, CollectionListener listener,
                                                              core::Duration shortestWait, core::Duration pause);
--- a/src/mesh/outboundface.cpp
+++ b/src/mesh/outboundface.cpp
@@ -25,7 +25,8 @@
 constexpr core::Duration assumedPatience = 10s; // of a client that does not tell its deadline
 constexpr core::Duration peerConnectTimeout = 300ms; // a hundred times the way between zones
 constexpr core::Duration peerSilence = 2s; // a peer that acknowledges nothing is cut off or has lost its power
-constexpr core::Duration shortestUsefulTime = 2ms;
+constexpr core::Duration hopAllowance = 20ms; // the gate gives up first, and so can say that a waiting request has not run
+constexpr core::Duration shortestUsefulTime = 2 * hopAllowance;
 constexpr core::Duration stopRefusalAfter = 3s; // two readiness checks a second apart have failed by then
 constexpr core::Duration noEndpointRetryAfter = 300ms;
 constexpr int mostHops = 4; // nodes that are asked for one request, refusals included
@@ -97,7 +98,10 @@
         }
         this->service = this->face.splits.pick(*this->route, context.random);
         this->isNested = this->exchange->peerIp() == this->face.ownIp;
-        this->face.retryBudget.countRequest(this->service, this->arrived);
+        const auto parent = this->face.chains.find(context.wire.parentOf(this->requestId));
+        this->chain = parent ? *parent : routing::ChainContext {routing::rootRank(this->route->priority, this->requestId), false};
+        this->isNested = this->isNested || parent.has_value();
+        this->face.retryBudget.countRequest(this->service, this->chain.isRepeat, this->arrived);
         this->deadline = this->arrived + std::min(head.patience.value_or(assumedPatience), this->route->timeout);
         this->target = this->arrived + this->route->objective;
         this->exchange->onCancelled([weak = this->weak_from_this()] {
@@ -138,11 +142,13 @@
         head.service = this->service;
         head.originService = context.settings.service;
         head.originNode = context.settings.ingress.toString();
-        head.priority = this->route->priority;
+        head.rank = this->chain.rank;
+        head.isRepeat = this->chain.isRepeat || this->runs > 0;
         head.isIdempotent = this->route->isIdempotent();
         head.isNested = this->isNested;
-        head.remaining = this->deadline - now;
-        head.objectiveLeft = this->target - now;
+        head.remaining = this->deadline - now - hopAllowance;
+        // A request that was begun fails with any call that it makes, so a nested call is worth its whole time.
+        head.objectiveLeft = this->isNested ? head.remaining : this->target - now;
         head.configVersion = this->table->version();
         this->send(head);
     }
@@ -238,7 +244,8 @@
         // Whatever has arrived at an endpoint counts against the budget that all nodes share, also if the endpoint refused it.
         const bool hasArrived = ran != Ran::No || kind == ErrorKind::UpstreamRefused;
         const bool isPaid = isAllowed && hasTime
-            && (!hasArrived || this->face.retryBudget.take(this->service, this->face.context.board.directory.read().size(), now));
+            && (!hasArrived
+                || this->face.retryBudget.take(this->service, this->chain.rank, this->face.context.board.directory.read().size(), now));
         if (!isPaid) {
             this->giveUp(kind, retryAfter);
             return;
@@ -334,6 +341,7 @@
     OutboundFace &face;
     std::shared_ptr<net::HttpExchange> exchange;
     std::shared_ptr<node::AnswerRelay> relay;
+    routing::ChainContext chain;
     routing::RouteTablePtr table; // keeps the route alive
     const routing::Route *route = nullptr;
     std::string requestId;
@@ -353,9 +361,10 @@
     bool isNested = false;
 };
 
-OutboundFace::OutboundFace(MeshContext context, SnapshotExchange &snapshots)
+OutboundFace::OutboundFace(MeshContext context, SnapshotExchange &snapshots, const routing::ChainTable &chains)
     : context(context)
     , snapshots(snapshots)
+    , chains(chains)
     , retryBudget(context.settings.retryBudget)
     , ownIp(context.settings.entrance.ip)
 {
--- a/src/mesh/outboundface.h
+++ b/src/mesh/outboundface.h
@@ -4,6 +4,7 @@
 #include "mesh/meshcontext.h"
 #include "mesh/snapshotexchange.h"
 #include "net/relayserver.h"
+#include "routing/chaintable.h"
 #include "routing/endpointpicker.h"
 #include "routing/retrybudget.h"
 #include "routing/splitpicker.h"
@@ -16,7 +17,8 @@
 class OutboundFace
 {
 public:
-    OutboundFace(MeshContext context, SnapshotExchange &snapshots);
+    /// @param chains requests that the endpoint on this VM runs
+    OutboundFace(MeshContext context, SnapshotExchange &snapshots, const routing::ChainTable &chains);
     ~OutboundFace();
     OutboundFace(const OutboundFace &) = delete;
     OutboundFace &operator=(const OutboundFace &) = delete;
@@ -34,6 +36,7 @@
 
     MeshContext context;
     SnapshotExchange &snapshots;
+    const routing::ChainTable &chains;
     routing::EndpointPicker picker;
     routing::RetryBudget retryBudget;
     routing::SplitPicker splits;
--- a/src/mesh/wireformat.h
+++ b/src/mesh/wireformat.h
@@ -57,6 +57,9 @@
 
     [[nodiscard]] virtual ClientHead readClient(const net::Headers &headers) const = 0;
 
+    /// Id of the request whose run makes this one; empty if the id tells none.
+    [[nodiscard]] virtual std::string_view parentOf(std::string_view requestId) const = 0;
+
     /// Whether a client's header is dropped because the system sets it itself.
     [[nodiscard]] virtual bool isOwnHeader(std::string_view name) const = 0;
 
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -1,5 +1,6 @@
 #include "net/eventloop.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <mutex>
@@ -116,7 +117,10 @@
     void turn()
     {
         std::array<epoll_event, eventsPerTurn> events;
-        const int count = epoll_wait(this->epollDescriptor, events.data(), eventsPerTurn, this->waitMs());
+        const int wait = this->waitMs();
+        const auto before = core::steadyNow();
+        const int count = epoll_wait(this->epollDescriptor, events.data(), eventsPerTurn, wait);
+        this->idleTime += core::steadyNow() - before;
         for (int at = 0; at < count; ++at) {
             this->dispatch(events[static_cast<std::size_t>(at)]);
         }
@@ -229,6 +233,8 @@
 
     int epollDescriptor;
     int wakeDescriptor;
+    core::Duration idleTime {}; // spent waiting since busySince
+    core::TimePoint busySince = core::steadyNow();
     std::atomic<bool> isStopped {false};
     std::atomic<std::thread::id> owner;
     std::mutex mutex;
@@ -324,6 +330,17 @@
     epoll_ctl(self.epollDescriptor, EPOLL_CTL_DEL, descriptor, &unused);
 }
 
+double EventLoop::takeBusyShare()
+{
+    auto &self = *this->implementation;
+    const auto now = core::steadyNow();
+    const auto elapsed = core::toSeconds(now - self.busySince);
+    const auto idle = core::toSeconds(self.idleTime);
+    self.busySince = now;
+    self.idleTime = {};
+    return elapsed > 0 ? std::clamp(1 - idle / elapsed, 0.0, 1.0) : 0;
+}
+
 void EventLoop::onTurnEnd(Callback callback)
 {
     this->implementation->turnEnd.push_back(std::move(callback));
--- a/src/net/eventloop.h
+++ b/src/net/eventloop.h
@@ -57,6 +57,9 @@
     /// Ends the watch of a descriptor.
     void unwatch(int descriptor);
 
+    /// Share of the time since the last call of this function that was spent in callbacks: 1 when the loop has no time to wait.
+    [[nodiscard]] double takeBusyShare();
+
     /// Calls back at the end of each turn, after all ready descriptors were served.
     void onTurnEnd(Callback callback);
 
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -98,9 +98,10 @@
         Lingering, ///< closed towards the peer, which may still send
     };
 
-    Connection(Implementation &server, int descriptor)
+    Connection(Implementation &server, int descriptor, std::string peerIp)
         : server(server)
         , descriptor(descriptor)
+        , peerIp(std::move(peerIp))
         , since(core::steadyNow())
     {
         this->resetParser();
@@ -123,6 +124,7 @@
 
     Implementation &server;
     int descriptor;
+    std::string peerIp;
     State state = State::Reading;
     std::unique_ptr<MessageParser<true>> parser;
     std::string input; // read but not consumed
@@ -155,7 +157,7 @@
     [[nodiscard]] std::string peerIp() const override
     {
         const auto held = this->connection.lock();
-        return held ? net::peerIp(held->descriptor) : std::string();
+        return held ? held->peerIp : std::string();
     }
 
     void answer(HttpAnswer answer) override
@@ -494,11 +496,12 @@
 void RelayServer::Implementation::acceptAll()
 {
     for (int accepted = 0; accepted < acceptsPerTurn; ++accepted) {
-        const int descriptor = acceptOne(this->listener);
+        std::string peerIp;
+        const int descriptor = acceptOne(this->listener, peerIp);
         if (descriptor < 0) {
             break;
         }
-        auto connection = std::make_shared<Connection>(*this, descriptor);
+        auto connection = std::make_shared<Connection>(*this, descriptor, std::move(peerIp));
         this->connections[descriptor] = connection;
         this->loop.watchEdges(descriptor, [weak = std::weak_ptr<Connection>(connection)](const Readiness &readiness) {
             if (const auto held = weak.lock()) {
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -80,16 +80,6 @@
     return {textOf(where), ntohs(where.sin_port)};
 }
 
-std::string peerIp(int descriptor)
-{
-    sockaddr_in where {};
-    socklen_t size = sizeof where;
-    if (getpeername(descriptor, reinterpret_cast<sockaddr *>(&where), &size) != 0) {
-        return {};
-    }
-    return textOf(where);
-}
-
 int startConnect(const Address &address, core::Duration silence)
 {
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -108,11 +98,14 @@
     return descriptor;
 }
 
-int acceptOne(int listener)
+int acceptOne(int listener, std::string &peerIp)
 {
-    const int descriptor = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    sockaddr_in peer {};
+    socklen_t size = sizeof peer;
+    const int descriptor = accept4(listener, reinterpret_cast<sockaddr *>(&peer), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (descriptor >= 0) {
         setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+        peerIp = textOf(peer);
     }
     return descriptor;
 }
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -23,17 +23,15 @@
 /// Address of a socket's own end.
 [[nodiscard]] Address localAddress(int descriptor);
 
-/// IP of a socket's peer; empty if it is not connected.
-[[nodiscard]] std::string peerIp(int descriptor);
-
 /// Starts to connect.
 /// @param silence after which a connection whose peer acknowledges nothing fails; 0: never
 /// @returns the descriptor, or -1
 [[nodiscard]] int startConnect(const Address &address, core::Duration silence);
 
 /// Accepts one connection.
+/// @param peerIp receives the IP of the other end
 /// @returns the descriptor, or -1 if none waits
-[[nodiscard]] int acceptOne(int listener);
+[[nodiscard]] int acceptOne(int listener, std::string &peerIp);
 
 /// Whether a connection that was being opened is open.
 [[nodiscard]] bool isConnected(int descriptor);
--- a/src/platform/names.h
+++ b/src/platform/names.h
@@ -7,6 +7,7 @@
 {
 // Headers of requests and answers.
 inline constexpr std::string_view requestId = "X-Request-Id"; ///< one attempt of a client, not the whole request
+inline constexpr char callSeparator = '.'; ///< between the id of a request and the part that its call adds
 inline constexpr std::string_view deadline = "X-Deadline-Ms"; ///< milliseconds that are left, not an instant
 inline constexpr std::string_view stamp = "X-Server-Stamp"; ///< signature of an endpoint's own answer
 inline constexpr std::string_view expectInstance = "X-Expect-Instance";
--- a/src/platform/platformwire.cpp
+++ b/src/platform/platformwire.cpp
@@ -134,6 +134,14 @@
     return head;
 }
 
+// The id of a call that an endpoint makes is seen to be the id of the request that it runs, a dot, and a part of its own. Nothing
+// depends on it but the order in which requests are served: without it a call has the rank of its own route.
+std::string_view PlatformWire::parentOf(std::string_view requestId) const
+{
+    const auto dot = requestId.rfind(names::callSeparator);
+    return dot == std::string_view::npos ? std::string_view() : requestId.substr(0, dot);
+}
+
 bool PlatformWire::isOwnHeader(std::string_view name) const
 {
     return net::isSameName(name, names::deadline) || net::isSameName(name, names::expectInstance) || net::isSameName(name, names::caller);
--- a/src/platform/platformwire.h
+++ b/src/platform/platformwire.h
@@ -9,6 +9,7 @@
 {
 public:
     [[nodiscard]] mesh::ClientHead readClient(const net::Headers &headers) const override;
+    [[nodiscard]] std::string_view parentOf(std::string_view requestId) const override;
     [[nodiscard]] bool isOwnHeader(std::string_view name) const override;
     void addUpstream(net::Headers &headers, const mesh::UpstreamHead &head) const override;
     [[nodiscard]] mesh::UpstreamReply readReply(const net::ClientAnswerHead &head) const override;
--- a/src/routing/retrybudget.h
+++ b/src/routing/retrybudget.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "core/rank.h"
 #include "core/time.h"
 
+#include <array>
+#include <cstddef>
 #include <deque>
 #include <string>
 #include <unordered_map>
@@ -19,21 +22,31 @@
 };
 
 /// This node's share of the budget of repeats that all nodes share, by service. A repeat is an attempt that reaches an endpoint
-/// after an earlier attempt of the same request may have run; attempts that were refused unsent are none.
+/// after an earlier attempt of the same request has reached one; attempts that were refused on the way are none.
+///
+/// When more repeats are asked for than are left, they go to the requests of the highest ranks. A chain needs all of its calls, so
+/// repeats that are spread evenly over all chains save none of them; by rank, whole chains are saved, the most urgent first.
 class RetryBudget
 {
 public:
     explicit RetryBudget(RetryBudgetRules rules);
 
-    /// A request for a service has arrived from a client.
-    void countRequest(const std::string &service, core::TimePoint now);
+    /// A request for a service has arrived.
+    /// @param isRepeat it was made by a run that repeats an earlier one, so that it counts as a repeat itself
+    void countRequest(const std::string &service, bool isRepeat, core::TimePoint now);
 
     /// Takes one repeat out of the share.
+    /// @param rank of the root
     /// @param nodes that share the budget
-    /// @returns false if the share is used up
-    [[nodiscard]] bool take(const std::string &service, std::size_t nodes, core::TimePoint now);
+    /// @returns false if the share is used up, or kept for higher ranks
+    [[nodiscard]] bool take(const std::string &service, core::Rank rank, std::size_t nodes, core::TimePoint now);
+
+    /// Rank below which no repeat is given for a service.
+    [[nodiscard]] core::Rank threshold(const std::string &service) const;
 
 private:
+    static constexpr std::size_t buckets = 64; // of the ranks
+
     struct Span
     {
         core::TimePoint since {};
@@ -41,9 +54,18 @@
         int repeats = 0;
     };
 
-    std::deque<Span> &spansOf(const std::string &service, core::TimePoint now);
+    struct Share
+    {
+        std::deque<Span> spans;
+        std::array<double, buckets> asked {}; // repeats asked for by rank, since the threshold was set
+        core::TimePoint thresholdAt {};
+        std::size_t lowest = 0; // bucket from which repeats are given
+    };
+
+    Share &shareOf(const std::string &service, core::TimePoint now);
+    void adjust(Share &share, double allowedPerSecond, core::TimePoint now) const;
 
     RetryBudgetRules rules;
-    std::unordered_map<std::string, std::deque<Span>> services;
+    std::unordered_map<std::string, Share> services;
 };
 } // namespace figpulley::routing
