Gate: free part of the slots, and a limit on roots behind a bottleneck

Ruled out: the processor (busy 0.3 to 0.7 on most nodes). Change: a tenth of the slots stays free; when roots spend more than 0.35 of their objective waiting for calls, only as many run as finish in time (Little's law), the others wait at the gate by rank.

--- a/src/gate/slotqueue.cpp
+++ b/src/gate/slotqueue.cpp
@@ -13,6 +13,13 @@
 using core::TimePoint;
 
 constexpr double runTimeWeight = 0.05; // of the newest run in the moving average
+constexpr double usedShare = 0.9; // of the slots: endpoints take up to a third longer when more than 19 of 20 slots are taken
+constexpr int smallestShared = 10; // slots below which none is left free
+constexpr double nestedShare = 0.35; // of the objective that runs may spend waiting for calls that they make
+constexpr core::Duration rateInterval = 250ms; // over which finished roots are counted
+constexpr double rateWeight = 0.4; // of the newest interval in the moving average
+constexpr int smallestRootLimit = 4; // some roots always run, so that it is seen when the bottleneck is gone
+constexpr double growth = 1.15; // room above what the bottleneck lets through, so that the limit can rise
 constexpr Duration assumedRun = 50ms; // before the first run has ended
 constexpr Duration shortestRetryAfter = 100ms; // below it a caller comes back before anything has changed
 constexpr std::size_t longestQueue = 4096; // bounds memory; far more than can be answered in time
@@ -38,14 +45,69 @@
     return this->meanRunSeconds > 0 ? fromSeconds(this->meanRunSeconds) : assumedRun;
 }
 
+int SlotQueue::usableSlots() const noexcept
+{
+    return this->slotCount < smallestShared ? this->slotCount : static_cast<int>(this->slotCount * usedShare);
+}
+
+// By Little's law, as many roots are in the runs as finish in the time that they may take.
+int SlotQueue::rootLimit() const noexcept
+{
+    const auto allowed = nestedShare * this->meanRootObjectiveSeconds;
+    if (this->meanRootNestedSeconds <= allowed || this->rootsPerSecond <= 0) {
+        return this->usableSlots();
+    }
+    const auto inTime = growth * this->rootsPerSecond * (this->meanRootSelfSeconds + allowed);
+    return std::clamp(static_cast<int>(inTime), smallestRootLimit, this->usableSlots());
+}
+
+bool SlotQueue::canRun(const QueuedRequest &request) const noexcept
+{
+    const bool hasSlot = this->runningCount < this->usableSlots();
+    return hasSlot && (request.isNested || this->runningRoots < this->rootLimit());
+}
+
+void SlotQueue::start(const QueuedRequest &request) noexcept
+{
+    ++this->runningCount;
+    this->runningRoots += request.isNested ? 0 : 1;
+}
+
+void SlotQueue::learn(const FinishedRun &run, TimePoint now)
+{
+    if (run.total.count() <= 0) {
+        return;
+    }
+    const auto average = [](double &mean, double value) { mean += mean > 0 ? runTimeWeight * (value - mean) : value; };
+    average(this->meanRunSeconds, core::toSeconds(run.total));
+    if (run.isNested) {
+        return;
+    }
+    const auto nested = std::min(run.nested, run.total);
+    average(this->meanRootSelfSeconds, core::toSeconds(run.total - nested));
+    average(this->meanRootNestedSeconds, core::toSeconds(nested));
+    average(this->meanRootObjectiveSeconds, core::toSeconds(std::max(run.objective, run.total - nested)));
+    ++this->rootsFinished;
+    if (now - this->rateSince >= rateInterval) {
+        const auto rate = this->rootsFinished / std::max(core::toSeconds(rateInterval), core::toSeconds(now - this->rateSince));
+        this->rootsPerSecond += this->rootsPerSecond > 0 ? rateWeight * (rate - this->rootsPerSecond) : rate;
+        this->rootsFinished = 0;
+        this->rateSince = now;
+    }
+}
+
 Duration SlotQueue::expectedWait(const QueuedRequest &request) const
 {
-    if (this->runningCount < this->slotCount && this->queue.empty()) {
+    if (this->canRun(request) && this->queue.empty()) {
         return Duration {};
     }
     const auto urgency = urgencyOf(request);
     const auto ahead = std::count_if(this->queue.begin(), this->queue.end(), [urgency](const auto &item) { return item.first.urgency <= urgency; });
-    return this->meanRun() * (ahead + 1) / this->slotCount;
+    const bool isBehindBottleneck = !request.isNested && this->rootLimit() < this->usableSlots();
+    if (isBehindBottleneck) {
+        return fromSeconds(static_cast<double>(ahead + 1) / this->rootsPerSecond);
+    }
+    return this->meanRun() * (ahead + 1) / this->usableSlots();
 }
 
 SlotDecision SlotQueue::refuse(const QueuedRequest &request, ErrorKind kind) const
@@ -59,8 +121,10 @@
     if (now >= request.deadline) {
         return this->refuse(request, ErrorKind::DeadlineExpired);
     }
-    if (this->runningCount < this->slotCount && this->queue.empty()) {
-        ++this->runningCount;
+    const auto first = this->queue.begin();
+    const bool isFirst = first == this->queue.end() || urgencyOf(request) < first->first.urgency || !this->canRun(first->second);
+    if (isFirst && this->canRun(request)) {
+        this->start(request);
         return {request.entry, SlotDecision::Kind::Run, ErrorKind::None, {}};
     }
     const auto finished = now + this->expectedWait(request) + this->meanRun();
@@ -73,20 +137,21 @@
     return {request.entry, SlotDecision::Kind::Wait, ErrorKind::None, {}};
 }
 
-std::vector<SlotDecision> SlotQueue::finish(Duration runTime, TimePoint now)
+std::vector<SlotDecision> SlotQueue::finish(const FinishedRun &run, TimePoint now)
 {
-    if (runTime.count() > 0) {
-        const auto seconds = core::toSeconds(runTime);
-        this->meanRunSeconds += this->meanRunSeconds > 0 ? runTimeWeight * (seconds - this->meanRunSeconds) : seconds;
-    }
+    this->learn(run, now);
     this->runningCount = std::max(0, this->runningCount - 1);
+    this->runningRoots = std::max(0, this->runningRoots - (run.isNested ? 0 : 1));
     auto decisions = this->expire(now);
-    while (this->runningCount < this->slotCount && !this->queue.empty()) {
-        const auto first = this->queue.begin();
-        decisions.push_back({first->second.entry, SlotDecision::Kind::Run, ErrorKind::None, {}});
-        this->keys.erase(core::value(first->second.entry));
-        this->queue.erase(first);
-        ++this->runningCount;
+    for (auto at = this->queue.begin(); at != this->queue.end() && this->runningCount < this->usableSlots();) {
+        if (!this->canRun(at->second)) {
+            ++at;
+            continue;
+        }
+        decisions.push_back({at->second.entry, SlotDecision::Kind::Run, ErrorKind::None, {}});
+        this->start(at->second);
+        this->keys.erase(core::value(at->second.entry));
+        at = this->queue.erase(at);
     }
     return decisions;
 }
--- a/src/gate/slotqueue.h
+++ b/src/gate/slotqueue.h
@@ -23,6 +23,15 @@
     core::TimePoint deadline {}; ///< an answer after it has none
 };
 
+/// How a run ended, as far as later ones are concerned.
+struct FinishedRun
+{
+    bool isNested = false; ///< as it was queued
+    core::Duration total {}; ///< zero if the end tells nothing, as after a failure
+    core::Duration nested {}; ///< part of it that the run spent waiting for calls that it made
+    core::Duration objective {}; ///< that it had when it began
+};
+
 /// What happens to one request.
 struct SlotDecision
 {
@@ -40,6 +49,10 @@
 
 /// Gives out the slots of one endpoint by the priority of the root; within it nested calls come first, since a running request waits
 /// for them, then the order of arrival counts. A request that cannot be answered in time any more is refused at once and never run.
+///
+/// Two limits lie below the slots. A part of the slots stays free, since endpoints slow down when they are nearly full. And when runs
+/// spend much of their objective waiting for calls that they make, a service behind this one is the bottleneck: then only as many roots
+/// run as it lets through in time, and the others wait here, in the order of their rank, instead of holding slots all the way down.
 class SlotQueue
 {
 public:
@@ -50,9 +63,8 @@
     [[nodiscard]] SlotDecision offer(const QueuedRequest &request, core::TimePoint now);
 
     /// A running request has ended.
-    /// @param runTime how long it ran; zero if that tells nothing
     /// @returns requests that run or are refused now
-    [[nodiscard]] std::vector<SlotDecision> finish(core::Duration runTime, core::TimePoint now);
+    [[nodiscard]] std::vector<SlotDecision> finish(const FinishedRun &run, core::TimePoint now);
 
     /// Refuses waiting requests that cannot be answered in time any more.
     [[nodiscard]] std::vector<SlotDecision> expire(core::TimePoint now);
@@ -71,6 +83,9 @@
     [[nodiscard]] int waiting() const noexcept;
     [[nodiscard]] int slots() const noexcept;
 
+    /// Roots that may run at once.
+    [[nodiscard]] int rootLimit() const noexcept;
+
     /// Time that a request of a priority would wait now.
     [[nodiscard]] core::Duration expectedWait(const QueuedRequest &request) const;
 
@@ -84,9 +99,20 @@
     };
 
     [[nodiscard]] SlotDecision refuse(const QueuedRequest &request, core::ErrorKind kind) const;
+    [[nodiscard]] int usableSlots() const noexcept;
+    [[nodiscard]] bool canRun(const QueuedRequest &request) const noexcept;
+    void start(const QueuedRequest &request) noexcept;
+    void learn(const FinishedRun &run, core::TimePoint now);
 
     int slotCount = 1;
     int runningCount = 0;
+    int runningRoots = 0;
+    int rootsFinished = 0; // since rateSince
+    core::TimePoint rateSince {};
+    double rootsPerSecond = 0;
+    double meanRootSelfSeconds = 0; // without nested calls
+    double meanRootNestedSeconds = 0;
+    double meanRootObjectiveSeconds = 0;
     std::uint64_t nextSequence = 0;
     double meanRunSeconds = 0;
     std::map<Key, QueuedRequest> queue;
--- a/src/mesh/gateface.cpp
+++ b/src/mesh/gateface.cpp
@@ -239,8 +239,7 @@
                    {"ran_ms", fmt::to_string(core::toMilliseconds(core::steadyNow() - this->started))},
                    {"detail", detail}});
         const auto keepAlive = this->shared_from_this();
-        this->face.chainTable.end(this->requestId);
-        const auto decisions = this->face.queue.finish(core::Duration {}, core::steadyNow());
+        const auto decisions = this->endRun(false);
         this->refuse(kind, ran, refusedRetryAfter);
         this->face.carryOut(decisions);
     }
@@ -248,11 +247,21 @@
     void close(ErrorKind kind)
     {
         const auto now = core::steadyNow();
-        this->face.chainTable.end(this->requestId);
-        const auto ranFor = kind == ErrorKind::None ? now - this->started : core::Duration {};
         this->face.context.metrics.countIngress(this->head.service, kind, now - this->arrived);
         this->face.runs.erase(core::value(this->id));
-        this->face.carryOut(this->face.queue.finish(ranFor, now));
+        this->face.carryOut(this->endRun(kind == ErrorKind::None));
+    }
+
+    // Gives the slot back.
+    [[nodiscard]] std::vector<SlotDecision> endRun(bool isSample)
+    {
+        const auto now = core::steadyNow();
+        gate::FinishedRun run;
+        run.isNested = this->head.isNested;
+        run.total = isSample ? now - this->started : core::Duration {};
+        run.nested = this->face.chainTable.end(this->requestId);
+        run.objective = this->head.objectiveLeft;
+        return this->face.queue.finish(run, now);
     }
 
     void cancel()
@@ -304,7 +313,7 @@
     return {this->queue.running(), this->queue.waiting(), this->queue.slots()};
 }
 
-const routing::ChainTable &GateFace::chains() const noexcept
+routing::ChainTable &GateFace::chains() noexcept
 {
     return this->chainTable;
 }
--- a/src/mesh/gateface.h
+++ b/src/mesh/gateface.h
@@ -29,7 +29,7 @@
     [[nodiscard]] routing::EndpointLoad load() const noexcept;
 
     /// Requests that the endpoint runs now.
-    [[nodiscard]] const routing::ChainTable &chains() const noexcept;
+    [[nodiscard]] routing::ChainTable &chains() noexcept;
 
     /// Moving average of the time that the endpoint takes.
     [[nodiscard]] core::Duration meanRun() const noexcept;
--- a/src/mesh/outboundface.cpp
+++ b/src/mesh/outboundface.cpp
@@ -333,6 +333,7 @@
     {
         this->face.context.loop.cancel(this->timer);
         this->timer = net::EventLoop::noTimer;
+        this->face.chains.addNested(this->face.context.wire.parentOf(this->requestId), core::steadyNow() - this->arrived);
         const auto routeName = this->route != nullptr ? this->route->name : std::string();
         const auto priority = this->route != nullptr ? fmt::to_string(this->route->priority) : std::string();
         this->face.context.metrics.countCall(this->service, routeName, priority, kind, status, core::steadyNow() - this->arrived);
@@ -361,7 +362,7 @@
     bool isNested = false;
 };
 
-OutboundFace::OutboundFace(MeshContext context, SnapshotExchange &snapshots, const routing::ChainTable &chains)
+OutboundFace::OutboundFace(MeshContext context, SnapshotExchange &snapshots, routing::ChainTable &chains)
     : context(context)
     , snapshots(snapshots)
     , chains(chains)
--- a/src/mesh/outboundface.h
+++ b/src/mesh/outboundface.h
@@ -18,7 +18,7 @@
 {
 public:
     /// @param chains requests that the endpoint on this VM runs
-    OutboundFace(MeshContext context, SnapshotExchange &snapshots, const routing::ChainTable &chains);
+    OutboundFace(MeshContext context, SnapshotExchange &snapshots, routing::ChainTable &chains);
     ~OutboundFace();
     OutboundFace(const OutboundFace &) = delete;
     OutboundFace &operator=(const OutboundFace &) = delete;
@@ -36,7 +36,7 @@
 
     MeshContext context;
     SnapshotExchange &snapshots;
-    const routing::ChainTable &chains;
+    routing::ChainTable &chains;
     routing::EndpointPicker picker;
     routing::RetryBudget retryBudget;
     routing::SplitPicker splits;
--- a/src/routing/chaintable.h
+++ b/src/routing/chaintable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/rank.h"
+#include "core/time.h"
 
 #include <optional>
 #include <string>
@@ -23,13 +24,24 @@
 {
 public:
     void begin(const std::string &requestId, const ChainContext &context);
-    void end(const std::string &requestId);
+
+    /// @returns the time that the request has spent waiting for its calls
+    core::Duration end(const std::string &requestId);
+
+    /// A call of a request has ended.
+    void addNested(std::string_view requestId, core::Duration duration);
 
     /// @param requestId of the request that makes a call
     [[nodiscard]] std::optional<ChainContext> find(std::string_view requestId) const;
 
 private:
-    std::unordered_map<std::string, ChainContext> running;
+    struct Running
+    {
+        ChainContext context;
+        core::Duration nested {};
+    };
+
+    std::unordered_map<std::string, Running> running;
 };
 
 /// Rank of a root.
--- a/tests/gate_test.cpp
+++ b/tests/gate_test.cpp
@@ -40,11 +40,11 @@
     story.equal(queue.offer(requestOf(3, 2, now), now).kind, SlotDecision::Kind::Wait, "a lookup waits");
     story.equal(queue.offer(requestOf(4, 0, now), now).kind, SlotDecision::Kind::Wait, "a booking waits");
     story.equal(queue.offer(requestOf(5, 2, now, true), now).kind, SlotDecision::Kind::Wait, "a lookup's nested call waits");
-    auto next = queue.finish(50ms, after(50ms));
+    auto next = queue.finish({false, 50ms, {}, 1s}, after(50ms));
     story.equal(core::value(next.at(0).entry), 4U, "the booking comes first");
-    next = queue.finish(50ms, after(60ms));
+    next = queue.finish({false, 50ms, {}, 1s}, after(60ms));
     story.equal(core::value(next.at(0).entry), 5U, "then the call that a running lookup waits for");
-    next = queue.finish(50ms, after(70ms));
+    next = queue.finish({false, 50ms, {}, 1s}, after(70ms));
     story.equal(core::value(next.at(0).entry), 3U, "then the lookup");
     story.equal(queue.waiting(), 0, "nobody waits any more");
     story.equal(queue.running(), 2, "and the slots are full");
@@ -57,7 +57,7 @@
     queue.setSlots(1);
     const auto now = after(0s);
     static_cast<void>(queue.offer(requestOf(1, 1, now), now));
-    static_cast<void>(queue.finish(400ms, after(400ms)));
+    static_cast<void>(queue.finish({false, 400ms, {}, 1s}, after(400ms)));
     static_cast<void>(queue.offer(requestOf(2, 1, after(400ms)), after(400ms)));
     story.equal(queue.offer(requestOf(3, 1, after(400ms)), after(400ms)).kind, SlotDecision::Kind::Wait, "what can be done in time waits");
     const auto refused = queue.offer(requestOf(4, 1, after(400ms)), after(400ms));
@@ -83,7 +83,7 @@
     const auto refused = queue.clear(ErrorKind::NotServing);
     story.equal(refused.size(), 1U, "the endpoint leaves: what waits is refused");
     story.equal(core::value(refused.front().entry), 3U, "so that its caller can go elsewhere");
-    story.check(queue.finish(10ms, now).empty(), "and nothing more is run");
+    story.check(queue.finish({false, 10ms, {}, 1s}, now).empty(), "and nothing more is run");
 }
 
 Test(gate, slots_are_never_oversold)
@@ -98,7 +98,7 @@
             now += core::Duration(*rc::gen::inRange(0, 50000));
             if (running > 0 && *rc::gen::arbitrary<bool>()) {
                 --running;
-                for (const auto &decision : queue.finish(core::Duration(*rc::gen::inRange(1, 100000)), now)) {
+                for (const auto &decision : queue.finish({false, core::Duration(*rc::gen::inRange(1, 100000)), {}, 1s}, now)) {
                     running += decision.kind == SlotDecision::Kind::Run ? 1 : 0;
                 }
             } else {
@@ -110,3 +110,36 @@
         }
     });
 }
+
+Test(gate, a_service_behind_this_one_is_the_bottleneck)
+{
+    tests::Story story;
+    gate::SlotQueue queue;
+    queue.setSlots(100);
+    auto now = after(0s);
+    std::uint64_t next = 1;
+    story.section("roots spend most of their objective waiting for calls", [&] {
+        for (int round = 0; round < 200; ++round) {
+            now += 10ms;
+            static_cast<void>(queue.offer(requestOf(next++, 2, now), now));
+            static_cast<void>(queue.finish({false, 800ms, 750ms, 1s}, now));
+        }
+        story.check(queue.rootLimit() < 60, "so only as many run as the bottleneck lets through in time");
+        story.check(queue.rootLimit() >= 40, "which is its rate, a hundred a second, for the time that they may take");
+    });
+    story.section("calls made by running requests", [&] {
+        for (int at = 0; at < 60; ++at) {
+            static_cast<void>(queue.offer(requestOf(next++, 2, now), now));
+        }
+        const auto nested = requestOf(next++, 2, now, true);
+        story.equal(queue.offer(nested, now).kind, SlotDecision::Kind::Run, "are not held back with the roots");
+    });
+    story.section("the bottleneck is gone", [&] {
+        for (int round = 0; round < 200; ++round) {
+            now += 10ms;
+            static_cast<void>(queue.offer(requestOf(next++, 2, now), now));
+            static_cast<void>(queue.finish({false, 100ms, 50ms, 1s}, now));
+        }
+        story.equal(queue.rootLimit(), 90, "all slots but the free part are used again");
+    });
+}
