A caller that left before its request was read is noticed

On a busy node a request and the end of its connection were found together; the request was read and run, and the end forgotten. Ruled out: the sender's cancellation, which closes its connection. Change: after reading, a connection that hung up is left. Test: net, a caller that leaves before a busy loop has read its request (failed before).

--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -226,6 +226,10 @@
     if (readiness.isReadable || readiness.isHungUp) {
         if (this->state == State::Reading || this->state == State::Lingering) {
             this->readMore();
+            // The loop tells of a closed end once: a caller may have sent its request and left before it was read.
+            if (readiness.isHungUp && !this->isEnded && this->state == State::Handling) {
+                this->peerLeft();
+            }
         } else if (readiness.isHungUp) {
             this->peerLeft();
         } else {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -3,6 +3,9 @@
 #include "support/rawserver.h"
 #include "support/story.h"
 
+#include "net/loopthread.h"
+#include "net/relayserver.h"
+
 #include "net/httpserver.h"
 
 using namespace figpulley;
@@ -97,3 +100,59 @@
     story.check(statusOf("X-Flood: " + std::string(60000, 'x') + "\r\n", "") != "HTTP/1.1 200", "a flood of headers is refused");
     thread.call([&] { server.reset(); });
 }
+
+Test(net, a_caller_that_leaves)
+{
+    tests::Story story;
+    net::LoopThread thread;
+    std::atomic<int> handled {0};
+    std::atomic<int> cancelled {0};
+    std::vector<std::shared_ptr<net::HttpExchange>> held;
+    std::unique_ptr<net::RelayServer> server;
+    const auto address = thread.call([&] {
+        server = std::make_unique<net::RelayServer>(thread.loop(), net::Address {"127.0.0.1", 0},
+                                                    [&](std::shared_ptr<net::HttpExchange> exchange) {
+                                                        exchange->onCancelled([&] { ++cancelled; });
+                                                        held.push_back(std::move(exchange));
+                                                        ++handled;
+                                                    });
+        return server->address();
+    });
+    const auto sendAndLeave = [&](bool isAtOnce) {
+        const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in where {};
+        where.sin_family = AF_INET;
+        where.sin_port = htons(address.port);
+        inet_pton(AF_INET, address.ip.c_str(), &where.sin_addr);
+        static_cast<void>(connect(descriptor, reinterpret_cast<sockaddr *>(&where), sizeof where));
+        const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        static_cast<void>(!write(descriptor, request.data(), request.size()));
+        const int before = handled;
+        for (int round = 0; !isAtOnce && handled == before && round < 1000; ++round) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+        close(descriptor);
+    };
+    const auto waitForCancelled = [&](int count) {
+        for (int round = 0; cancelled < count && round < 1000; ++round) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+        return cancelled.load();
+    };
+    story.section("while its request is worked on", [&] {
+        sendAndLeave(false);
+        story.equal(waitForCancelled(1), 1, "is noticed");
+    });
+    story.section("before a busy loop has read its request", [&] {
+        thread.call([&] {
+            sendAndLeave(true);
+            return true;
+        });
+        story.equal(waitForCancelled(2), 2, "is noticed as well");
+    });
+    thread.call([&] {
+        held.clear();
+        server.reset();
+        return true;
+    });
+}
