--- a/src/cli/runapply.cpp
+++ b/src/cli/runapply.cpp
@@ -44,8 +44,8 @@
     const nlohmann::json entry {
         {"applied_by", request.appliedBy}, {"applied_at", request.appliedAt}, {"note", request.note}, {"refused", reason}};
     const auto key = "figpulley/refused/" + request.appliedAt + "-" + request.applyId;
-    static_cast<void>(session.wait<store::StoreResult>(
-        [&](store::ObjectStore &store, auto callback) { store.put(key, entry.dump(1), {0}, callback); }));
+    static_cast<void>(
+        session.wait<store::StoreResult>([&](store::ObjectStore &store, auto callback) { store.put(key, entry.dump(1), {0}, callback); }));
 }
 
 int applyFiles(PlatformSession &session, const sync::ApplyRequest &request)
--- a/src/cli/runmesh.cpp
+++ b/src/cli/runmesh.cpp
@@ -74,7 +74,8 @@
 
 int runMesh(const std::vector<std::string> &arguments)
 {
-    auto options = makeOptions("mesh", "Runs one node beside an endpoint, with peers found through the platform's store. SIGTERM drains it.");
+    auto options =
+        makeOptions("mesh", "Runs one node beside an endpoint, with peers found through the platform's store. SIGTERM drains it.");
     options.add_options()("settings", fmt::format("settings file, JSON with comments; else the path in {}", settingsVariable),
                           cxxopts::value<std::string>());
     const auto parsed = parseOptions(options, arguments);
--- a/src/cli/signalwatch.cpp
+++ b/src/cli/signalwatch.cpp
@@ -51,8 +51,7 @@
     watchSignals();
     loop.watch(this->readEnd, true, false, [end = this->readEnd, onStop = std::move(onStop)](bool, bool) {
         std::array<char, 16> drained {};
-        while (read(end, drained.data(), drained.size()) > 0) {
-        }
+        while (read(end, drained.data(), drained.size()) > 0) { }
         onStop(signalsReceived());
     });
 }
--- a/src/discovery/endpointrecord.cpp
+++ b/src/discovery/endpointrecord.cpp
@@ -43,16 +43,9 @@
 std::string encode(const EndpointRecord &record)
 {
     return nlohmann::json {
-        {"node", record.node},
-        {"id", record.id},
-        {"service", record.service},
-        {"zone", record.zone},
-        {"version", record.version},
-        {"slots", record.slots},
-        {"state", name(record.state)},
-        {"incarnation", record.incarnation},
-        {"sequence", record.sequence},
-        {"cold_ms", record.coldMs},
+        {"node", record.node},         {"id", record.id},          {"service", record.service},   {"zone", record.zone},
+        {"version", record.version},   {"slots", record.slots},    {"state", name(record.state)}, {"incarnation", record.incarnation},
+        {"sequence", record.sequence}, {"cold_ms", record.coldMs},
     }
         .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
--- a/src/discovery/localendpoint.cpp
+++ b/src/discovery/localendpoint.cpp
@@ -78,7 +78,8 @@
         this->heardAt = now;
         return Hearing::Changed;
     }
-    const bool isOther = departure.id != this->known->id || (departure.incarnation != 0 && departure.incarnation != this->known->incarnation);
+    const bool isOther =
+        departure.id != this->known->id || (departure.incarnation != 0 && departure.incarnation != this->known->incarnation);
     if (isOther) {
         return Hearing::Stale;
     }
--- a/src/gate/slotqueue.cpp
+++ b/src/gate/slotqueue.cpp
@@ -102,7 +102,8 @@
         return Duration {};
     }
     const auto urgency = urgencyOf(request);
-    const auto ahead = std::count_if(this->queue.begin(), this->queue.end(), [urgency](const auto &item) { return item.first.urgency <= urgency; });
+    const auto ahead =
+        std::count_if(this->queue.begin(), this->queue.end(), [urgency](const auto &item) { return item.first.urgency <= urgency; });
     const bool isBehindBottleneck = !request.isNested && this->rootLimit() < this->usableSlots();
     if (isBehindBottleneck) {
         return fromSeconds(static_cast<double>(ahead + 1) / this->rootsPerSecond);
--- a/src/mesh/collectionfollower.cpp
+++ b/src/mesh/collectionfollower.cpp
@@ -80,17 +80,19 @@
 
 void CollectionFollower::watch()
 {
-    this->store.watch(this->collection, this->revision, this->wait(), [weak = this->weak_from_this()](const store::CollectionItems &changes) {
-        if (const auto self = weak.lock()) {
-            self->watched(changes);
-        }
-    });
+    this->store.watch(this->collection, this->revision, this->wait(),
+                      [weak = this->weak_from_this()](const store::CollectionItems &changes) {
+                          if (const auto self = weak.lock()) {
+                              self->watched(changes);
+                          }
+                      });
 }
 
 void CollectionFollower::watched(const store::CollectionItems &changes)
 {
     if (changes.kind == ErrorKind::HistoryGone) {
-        core::log(core::LogLevel::Info, "store.history_gone", {{"collection", this->collection}, {"revision", fmt::to_string(this->revision)}});
+        core::log(core::LogLevel::Info, "store.history_gone",
+                  {{"collection", this->collection}, {"revision", fmt::to_string(this->revision)}});
         this->list({});
         return;
     }
--- a/src/mesh/controlface.cpp
+++ b/src/mesh/controlface.cpp
@@ -30,9 +30,9 @@
     const auto serve = [this](const std::shared_ptr<net::HttpExchange> &exchange) { this->accept(exchange); };
     this->control = std::make_unique<net::HttpServer>(context.loop, context.settings.control, serve);
     this->readiness = std::make_unique<net::HttpServer>(context.loop, context.settings.readiness, serve);
-    this->metrics = std::make_unique<net::HttpServer>(
-        context.loop, context.settings.metrics,
-        [this](const std::shared_ptr<net::HttpExchange> &exchange) { this->acceptReading(exchange); });
+    this->metrics =
+        std::make_unique<net::HttpServer>(context.loop, context.settings.metrics,
+                                          [this](const std::shared_ptr<net::HttpExchange> &exchange) { this->acceptReading(exchange); });
 }
 
 ControlFace::~ControlFace() = default;
--- a/src/mesh/gateface.cpp
+++ b/src/mesh/gateface.cpp
@@ -102,7 +102,8 @@
     void logRefusal(const AttemptReport &report) const
     {
         const auto kindName = core::answerFor(report.kind).name;
-        const auto leftOut = this->head.isIdempotent ? this->face.context.sampler.take(kindName, core::steadyNow()) : std::optional<std::uint64_t>(0);
+        const auto leftOut =
+            this->head.isIdempotent ? this->face.context.sampler.take(kindName, core::steadyNow()) : std::optional<std::uint64_t>(0);
         if (!leftOut) {
             return;
         }
@@ -143,8 +144,7 @@
                 request.headers.push_back(header);
             }
         }
-        context.wire.addUpstream(request.headers,
-                                 {this->deadline - this->started, this->head.endpointId, this->head.originService});
+        context.wire.addUpstream(request.headers, {this->deadline - this->started, this->head.endpointId, this->head.originService});
         node::AnswerRelay::Callbacks callbacks;
         callbacks.isAcceptable = [self = this->shared_from_this()](const net::ClientAnswerHead &answer) { return self->isOwn(answer); };
         callbacks.onCommit = [self = this->shared_from_this()](const net::ClientAnswerHead &) { return self->commit(); };
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -77,9 +77,9 @@
 {
     auto &eventLoop = this->loop;
     const auto later = [&eventLoop](core::Duration delay, std::function<void()> callback) { eventLoop.after(delay, std::move(callback)); };
-    auto follower =
-        std::make_shared<CollectionFollower>(this->context.store, collection, std::move(listener), later, this->random,
-                                             [this, shortestWait] { return this->watchWait(shortestWait); }, pause);
+    auto follower = std::make_shared<CollectionFollower>(
+        this->context.store, collection, std::move(listener), later, this->random,
+        [this, shortestWait] { return this->watchWait(shortestWait); }, pause);
     follower->start();
     return follower;
 }
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -160,8 +160,8 @@
             return;
         }
         const auto found = this->watches.find(descriptor);
-        const bool isCurrent = found != this->watches.end() && found->second.onReady
-            && event.data.u64 == keyOf(descriptor, found->second.generation);
+        const bool isCurrent =
+            found != this->watches.end() && found->second.onReady && event.data.u64 == keyOf(descriptor, found->second.generation);
         if (!isCurrent) {
             return;
         }
@@ -296,7 +296,8 @@
 void EventLoop::watch(int descriptor, bool isRead, bool isWrite, std::function<void(bool, bool)> onReady)
 {
     auto &self = *this->implementation;
-    const std::uint32_t events = (isRead ? static_cast<std::uint32_t>(EPOLLIN) : 0U) | (isWrite ? static_cast<std::uint32_t>(EPOLLOUT) : 0U);
+    const std::uint32_t events =
+        (isRead ? static_cast<std::uint32_t>(EPOLLIN) : 0U) | (isWrite ? static_cast<std::uint32_t>(EPOLLOUT) : 0U);
     auto &watch = self.watches[descriptor];
     if (!watch.onReady) {
         ++watch.generation;
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -52,6 +52,7 @@
         bool isChunked = false;
         bool isPaused = false;
         int timesSent = 0;
+        core::Duration silence {};
     };
 
     explicit Implementation(EventLoop &loop)
@@ -299,7 +300,7 @@
         curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.headerList);
     }
 
-    static void setConnection(const Transfer &transfer, const ClientRequest &request)
+    static void setConnection(Transfer &transfer, const ClientRequest &request)
     {
         auto *handle = transfer.handle;
         curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
@@ -308,7 +309,7 @@
         curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
         const auto idleSeconds = std::chrono::duration_cast<std::chrono::seconds>(request.largestIdle).count();
         curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, idleSeconds > 0 ? static_cast<long>(idleSeconds) : largestIdleSeconds);
-        setSilence(handle, request.silence);
+        setSilence(transfer, request.silence);
         curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, request.isFreshConnection ? 1L : 0L);
         curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, request.isFreshConnection ? 1L : 0L);
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, std::max(1L, static_cast<long>(core::toMilliseconds(request.timeout))));
@@ -321,23 +322,24 @@
     }
 
     // Both are needed: the user timeout covers bytes that were sent, the probes a connection that only waits for an answer.
-    static void setSilence(CURL *handle, core::Duration silence)
+    static void setSilence(Transfer &transfer, core::Duration silence)
     {
-        const auto seconds = static_cast<long>(std::chrono::duration_cast<std::chrono::seconds>(silence).count());
-        if (seconds == 0) {
+        if (silence.count() == 0) {
             return;
         }
+        auto *handle = transfer.handle;
+        transfer.silence = silence;
         curl_easy_setopt(handle, CURLOPT_TCP_KEEPALIVE, 1L);
         curl_easy_setopt(handle, CURLOPT_TCP_KEEPIDLE, 1L);
         curl_easy_setopt(handle, CURLOPT_TCP_KEEPINTVL, 1L);
         curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &Implementation::onSocketMade);
-        curl_easy_setopt(handle, CURLOPT_SOCKOPTDATA, reinterpret_cast<void *>(seconds));
+        curl_easy_setopt(handle, CURLOPT_SOCKOPTDATA, &transfer);
     }
 
     static int onSocketMade(void *context, curl_socket_t socket, curlsocktype /*purpose*/)
     {
-        const auto seconds = reinterpret_cast<long>(context);
-        const auto milliseconds = static_cast<unsigned>(seconds * 1000);
+        const auto &transfer = *static_cast<const Transfer *>(context);
+        const auto milliseconds = static_cast<unsigned>(core::toMilliseconds(transfer.silence));
         setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
         return CURL_SOCKOPT_OK;
     }
--- a/src/net/relayclient.cpp
+++ b/src/net/relayclient.cpp
@@ -371,7 +371,8 @@
         return;
     }
     this->mayBeKept = false;
-    const auto kind = this->written == 0 ? (isConnecting ? ErrorKind::ConnectFailed : ErrorKind::DeadlineExpired) : ErrorKind::DeadlineUnknown;
+    const auto kind =
+        this->written == 0 ? (isConnecting ? ErrorKind::ConnectFailed : ErrorKind::DeadlineExpired) : ErrorKind::DeadlineUnknown;
     this->finish(kind, isConnecting ? "the connection was not established in time" : "the time is over");
 }
 
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -29,7 +29,6 @@
 constexpr core::Duration lingerTimeout = 1s; // for a peer to close after our last answer, so that unread bytes do not reset it
 constexpr std::size_t streamBlock = 32UL * 1024UL;
 constexpr std::size_t largestPending = 256UL * 1024UL; // bytes of an answer that wait for a slow reader before its source is held back
-constexpr std::size_t largestEarlyInput = 64UL * 1024UL; // bytes of further requests that are read ahead
 constexpr int acceptsPerTurn = 64;
 constexpr int httpBadRequest = 400;
 constexpr int httpNoContent = 204;
--- a/src/platform/platformstore.cpp
+++ b/src/platform/platformstore.cpp
@@ -60,7 +60,7 @@
     CollectionItems items;
     if (answer.result.kind != ErrorKind::None || answer.head.status != httpOk) {
         items.kind = answer.head.status == httpGone && answer.result.kind == ErrorKind::None ? ErrorKind::HistoryGone
-                                                                                           : ErrorKind::PlatformUnavailable;
+                                                                                             : ErrorKind::PlatformUnavailable;
         return items;
     }
     try {
@@ -87,8 +87,8 @@
 // A write that fails on its way may have taken effect, or may still do so.
 ErrorKind failureOf(const net::ClientAnswer &answer, bool isWrite)
 {
-    const bool wasRefused = answer.result.kind == ErrorKind::None
-        && (answer.head.status == httpTooMany || answer.head.status == httpServiceUnavailable);
+    const bool wasRefused =
+        answer.result.kind == ErrorKind::None && (answer.head.status == httpTooMany || answer.head.status == httpServiceUnavailable);
     const bool didNotReach = answer.result.kind != ErrorKind::None && core::answerFor(answer.result.kind).ran == core::Ran::No;
     return !isWrite || wasRefused || didNotReach ? ErrorKind::PlatformUnavailable : ErrorKind::PlatformOutcomeUnknown;
 }
@@ -142,8 +142,9 @@
 
 void PlatformStore::watch(const std::string &collection, std::uint64_t revision, core::Duration wait, ItemsCallback callback)
 {
-    auto request = this->request("GET", fmt::format("{}?{}={}&{}={}", collection, names::watchParameter, revision, names::waitParameter,
-                                                    core::toMilliseconds(wait)));
+    auto request = this->request(
+        "GET",
+        fmt::format("{}?{}={}&{}={}", collection, names::watchParameter, revision, names::waitParameter, core::toMilliseconds(wait)));
     request.timeout = wait + watchMargin;
     this->client.fetch(request, largestAnswer,
                        [callback = std::move(callback)](const net::ClientAnswer &answer) { callback(itemsOf(answer)); });
--- a/src/routing/endpointpicker.cpp
+++ b/src/routing/endpointpicker.cpp
@@ -63,8 +63,8 @@
     bool isBestSuspended = false;
     for (const auto *endpoint : directory.ready(request.service)) {
         const auto &node = endpoint->record.node;
-        const bool isTried = request.tried != nullptr
-            && std::find(request.tried->begin(), request.tried->end(), node) != request.tried->end();
+        const bool isTried =
+            request.tried != nullptr && std::find(request.tried->begin(), request.tried->end(), node) != request.tried->end();
         if (isTried) {
             continue;
         }
--- a/src/sync/configrelay.cpp
+++ b/src/sync/configrelay.cpp
@@ -21,8 +21,7 @@
 constexpr int largestDoubling = 6;
 } // namespace
 
-ConfigRelay::ConfigRelay(store::ObjectStore &store, Schedule schedule, const SnapshotStore &snapshots, Deliver deliver,
-                         std::uint64_t seed)
+ConfigRelay::ConfigRelay(store::ObjectStore &store, Schedule schedule, const SnapshotStore &snapshots, Deliver deliver, std::uint64_t seed)
     : store(store)
     , schedule(std::move(schedule))
     , snapshots(snapshots)
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -39,8 +39,8 @@
     return record;
 }
 
-std::string pickOnce(const routing::EndpointPicker &picker, const discovery::Directory &directory, core::TimePoint now, core::Random &random,
-                     const std::vector<std::string> &tried = {})
+std::string pickOnce(const routing::EndpointPicker &picker, const discovery::Directory &directory, core::TimePoint now,
+                     core::Random &random, const std::vector<std::string> &tried = {})
 {
     const auto *endpoint = picker.pick(directory, {"motivi", "caltagirone", &tried, now}, random);
     return endpoint == nullptr ? std::string("none") : endpoint->record.node;
--- a/tests/support/meshbed.h
+++ b/tests/support/meshbed.h
@@ -118,8 +118,7 @@
         this->thread.call([&] {
             auto &vm = this->vms.at(name);
             vm.platformStore = std::make_unique<platform::PlatformStore>(*this->client, this->store->address().toString());
-            vm.node =
-                std::make_unique<mesh::MeshNode>(this->thread.loop(), *this->client, vm.settings, this->wire, *vm.platformStore);
+            vm.node = std::make_unique<mesh::MeshNode>(this->thread.loop(), *this->client, vm.settings, this->wire, *vm.platformStore);
             vm.node->start();
         });
     }
