--- a/src/cli/reference.cpp
+++ b/src/cli/reference.cpp
@@ -4,6 +4,7 @@
 #include "config/overloadpolicy.h"
 #include "config/requestpriorities.h"
 #include "core/errorkind.h"
+#include "mesh/meshsettings.h"
 #include "node/nodesettings.h"
 
 #include <fmt/format.h>
@@ -44,6 +45,7 @@
     std::string page = "# Reference\n\nMade by `figpulley reference` from the program's own tables; a test compares them.\n\n";
     page += sectionTable(node::nodeSettingsSection());
     page += sectionTable(node::sharedKeySection());
+    page += sectionTable(mesh::meshSettingsSection());
     page += sectionTable(config::overloadPolicySection());
     page += sectionTable(config::rootPolicySection());
     page += sectionTable(config::servicePolicySection());
--- a/src/cli/runmesh.cpp
+++ b/src/cli/runmesh.cpp
@@ -9,6 +9,7 @@
 #include "platform/platformstore.h"
 #include "platform/platformwire.h"
 
+#include <chrono>
 #include <cstdlib>
 
 #include <fmt/format.h>
@@ -21,6 +22,7 @@
 namespace leaf = core::leaf;
 
 constexpr const char *settingsVariable = "FIGPULLEY_CONFIG";
+constexpr core::Duration settingsCheck = std::chrono::seconds(5); // for changes of the file that no signal tells of
 
 leaf::result<mesh::MeshSettings> loadSettings(const std::string &path)
 {
@@ -36,8 +38,49 @@
     return std::move(*settings);
 }
 
+// Reloads the settings file when it was changed. A broken file changes nothing.
+class SettingsFile
+{
+public:
+    SettingsFile(std::string path, mesh::MeshNode &node)
+        : path(std::move(path))
+        , node(node)
+        , lastText(this->text())
+    {
+    }
+
+    void reload(std::string_view cause)
+    {
+        auto now = this->text();
+        if (now == this->lastText) {
+            return;
+        }
+        this->lastText = std::move(now);
+        text::Problems problems;
+        const auto settings = mesh::readMeshSettings(this->path, this->lastText, problems);
+        if (!settings) {
+            const auto reason = problems.empty() ? std::string("unreadable") : text::describe(problems.front());
+            core::log(core::LogLevel::Error, "settings.refused", {{"cause", std::string(cause)}, {"reason", reason}});
+            return;
+        }
+        const bool isWhole = this->node.reload(*settings);
+        core::log(core::LogLevel::Info, "settings.reloaded",
+                  {{"cause", std::string(cause)}, {"needs_restart", isWhole ? "false" : "true"}});
+    }
+
+private:
+    [[nodiscard]] std::string text() const
+    {
+        return leaf::try_handle_all([this]() -> leaf::result<std::string> { return readFile(this->path); }, [] { return std::string(); });
+    }
+
+    std::string path;
+    mesh::MeshNode &node;
+    std::string lastText;
+};
+
 // The first signal drains, the second ends at once.
-int serve(const mesh::MeshSettings &settings)
+int serve(const std::string &path, const mesh::MeshSettings &settings)
 {
     core::setLogLevel(settings.logLevel);
     core::BoundedLog lines(STDOUT_FILENO);
@@ -57,13 +100,16 @@
         cut = cutRequests;
         loop.stop();
     };
-    const SignalWatch signals(loop, [&](int received) {
+    SettingsFile file(path, node);
+    const auto stop = [&](int received) {
         if (received == 1) {
             node.stop(end);
         } else {
             loop.stop();
         }
-    });
+    };
+    const SignalWatch signals(loop, stop, [&] { file.reload("SIGHUP"); });
+    loop.every(settingsCheck, [&] { file.reload("changed file"); });
     node.start();
     loop.run();
     core::log(cut == 0 ? core::LogLevel::Info : core::LogLevel::Warning, "node.stopped", {{"requests_cut", fmt::to_string(cut)}});
@@ -91,7 +137,7 @@
     return leaf::try_handle_all(
         [&]() -> leaf::result<int> {
             BOOST_LEAF_AUTO(settings, loadSettings(path));
-            return serve(settings);
+            return serve(path, settings);
         },
         [](const core::ErrorDetail &detail) {
             fmt::print(stderr, "figpulley mesh: {}\n", detail.text);
--- a/src/cli/signalwatch.cpp
+++ b/src/cli/signalwatch.cpp
@@ -14,11 +14,12 @@
 namespace
 {
 std::atomic<int> received {0};
+std::atomic<int> reloads {0};
 std::atomic<int> wakeEnd {-1};
 
-extern "C" void countSignal(int /*signal*/)
+extern "C" void countSignal(int signal)
 {
-    received.fetch_add(1);
+    (signal == SIGHUP ? reloads : received).fetch_add(1);
     const int descriptor = wakeEnd.load();
     if (descriptor >= 0) {
         const char byte = 0;
@@ -39,7 +40,7 @@
     return received.load();
 }
 
-SignalWatch::SignalWatch(net::EventLoop &loop, std::function<void(int)> onStop)
+SignalWatch::SignalWatch(net::EventLoop &loop, std::function<void(int)> onStop, std::function<void()> onReload)
     : loop(loop)
 {
     std::array<int, 2> ends {};
@@ -49,10 +50,16 @@
     this->readEnd = ends[0];
     wakeEnd.store(ends[1]);
     watchSignals();
-    loop.watch(this->readEnd, true, false, [end = this->readEnd, onStop = std::move(onStop)](bool, bool) {
+    std::signal(SIGHUP, &countSignal);
+    loop.watch(this->readEnd, true, false, [end = this->readEnd, onStop = std::move(onStop), onReload = std::move(onReload)](bool, bool) {
         std::array<char, 16> drained {};
         while (read(end, drained.data(), drained.size()) > 0) { }
-        onStop(signalsReceived());
+        if (reloads.exchange(0) > 0) {
+            onReload();
+        }
+        if (signalsReceived() > 0) {
+            onStop(signalsReceived());
+        }
     });
 }
 
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -147,6 +147,18 @@
     return this->blackboard;
 }
 
+bool MeshNode::reload(const MeshSettings &changed)
+{
+    auto expected = this->settings;
+    expected.logLevel = changed.logLevel;
+    expected.grace = changed.grace;
+    expected.retryBudget = changed.retryBudget;
+    this->settings = expected;
+    core::setLogLevel(changed.logLevel);
+    this->outbound->setRetryBudget(changed.retryBudget);
+    return expected == changed;
+}
+
 std::size_t MeshNode::inFlight() const noexcept
 {
     return this->outbound->inFlight() + this->gate->inFlight();
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -29,6 +29,10 @@
 
     void start();
 
+    /// Takes over changed settings: the log level, the grace time and the retry budget.
+    /// @returns false if something else has changed, which needs a restart
+    bool reload(const MeshSettings &changed);
+
     /// Begins a planned stop: tells that it takes no clients, refuses new attempts as not run, finishes what it has.
     /// @param onStopped called when all is done or the grace is over; receives the requests cut off
     void stop(std::function<void(std::size_t)> onStopped);
--- a/src/mesh/outboundface.cpp
+++ b/src/mesh/outboundface.cpp
@@ -376,6 +376,11 @@
 
 OutboundFace::~OutboundFace() = default;
 
+void OutboundFace::setRetryBudget(const routing::RetryBudgetRules &rules)
+{
+    this->retryBudget.setRules(rules);
+}
+
 std::size_t OutboundFace::inFlight() const noexcept
 {
     return this->callsInFlight;
--- a/src/mesh/outboundface.h
+++ b/src/mesh/outboundface.h
@@ -23,6 +23,8 @@
     OutboundFace(const OutboundFace &) = delete;
     OutboundFace &operator=(const OutboundFace &) = delete;
 
+    void setRetryBudget(const routing::RetryBudgetRules &rules);
+
     /// Requests that are not answered yet.
     [[nodiscard]] std::size_t inFlight() const noexcept;
 
--- a/src/routing/retrybudget.cpp
+++ b/src/routing/retrybudget.cpp
@@ -25,6 +25,11 @@
 {
 }
 
+void RetryBudget::setRules(const RetryBudgetRules &changed)
+{
+    this->rules = changed;
+}
+
 RetryBudget::Share &RetryBudget::shareOf(const std::string &service, core::TimePoint now)
 {
     auto &share = this->services[service];
--- a/src/routing/retrybudget.h
+++ b/src/routing/retrybudget.h
@@ -31,6 +31,9 @@
 public:
     explicit RetryBudget(RetryBudgetRules rules);
 
+    /// Replaces the bounds; what was counted stays.
+    void setRules(const RetryBudgetRules &changed);
+
     /// A request for a service has arrived.
     /// @param isRepeat it was made by a run that repeats an earlier one, so that it counts as a repeat itself
     void countRequest(const std::string &service, bool isRepeat, core::TimePoint now);
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -4,6 +4,9 @@
 
 #include "mesh/attempthead.h"
 
+#include <fstream>
+#include <sstream>
+
 using namespace figpulley;
 
 namespace
@@ -233,3 +236,33 @@
         RC_ASSERT(!mesh::decodeAttemptHead(text.substr(0, *rc::gen::inRange<std::size_t>(0, text.size()))));
     });
 }
+
+Test(mesh, settings_are_checked)
+{
+    tests::Story story;
+    const auto example = [] {
+        std::ifstream file(FIGPULLEY_SOURCE_DIR "/examples/settings/mesh.jsonc");
+        std::ostringstream text;
+        text << file.rdbuf();
+        return text.str();
+    }();
+    story.section("the example", [&] {
+        text::Problems problems;
+        const auto settings = mesh::readMeshSettings("mesh.jsonc", example, problems);
+        story.check(settings.has_value() && problems.empty(), "is valid");
+        story.equal(settings->entrance.port, 7001, "and read");
+    });
+    story.section("a misspelt key", [&] {
+        text::Problems problems;
+        auto broken = example;
+        broken.replace(broken.find("\"entrance\""), 10, "\"entranse\"");
+        story.check(!mesh::readMeshSettings("mesh.jsonc", broken, problems), "is refused");
+        story.check(text::describe(problems.front()).starts_with("mesh.jsonc:6:"), "with its line");
+    });
+    story.section("an address that is none", [&] {
+        text::Problems problems;
+        auto broken = example;
+        broken.replace(broken.find("127.0.0.1:7001"), 14, "localhost:7001");
+        story.check(!mesh::readMeshSettings("mesh.jsonc", broken, problems), "is refused");
+    });
+}
