--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -60,7 +60,11 @@
     this->control = std::make_unique<ControlFace>(this->context, *this->recorder, [this] { return this->isReady(); });
 }
 
-MeshNode::~MeshNode() = default;
+MeshNode::~MeshNode()
+{
+    this->loop.cancel(this->loadTimer);
+    this->loop.cancel(this->stopTimer);
+}
 
 // The nodes of a zone share the work of watching: whichever hears of a newer configuration first tells the others with its next
 // requests. So each node's watch may be the longer, the more nodes its zone has; the store's load does not grow with the fleet.
@@ -134,7 +138,7 @@
                {"slots", fmt::to_string(load.slots)},
                {"mean_run_ms", fmt::to_string(core::toMilliseconds(this->gate->meanRun()))},
                {"endpoints", fmt::to_string(this->blackboard.directory.read().size())}});
-    this->loop.after(loadInterval, [this] { this->reportLoad(); });
+    this->loadTimer = this->loop.after(loadInterval, [this] { this->reportLoad(); });
 }
 
 bool MeshNode::isReady() const noexcept
@@ -186,6 +190,6 @@
         std::exchange(this->onStopped, nullptr)(this->inFlight());
         return;
     }
-    this->loop.after(stopCheck, [this] { this->checkStop(); });
+    this->stopTimer = this->loop.after(stopCheck, [this] { this->checkStop(); });
 }
 } // namespace figpulley::mesh
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -68,5 +68,7 @@
     std::shared_ptr<CollectionFollower> routesFollower;
     std::shared_ptr<CollectionFollower> endpointsFollower;
     std::function<void(std::size_t)> onStopped;
+    net::EventLoop::TimerId loadTimer = net::EventLoop::noTimer;
+    net::EventLoop::TimerId stopTimer = net::EventLoop::noTimer;
 };
 } // namespace figpulley::mesh
--- a/src/mesh/snapshotexchange.cpp
+++ b/src/mesh/snapshotexchange.cpp
@@ -36,10 +36,13 @@
     request.url = fmt::format("http://{}/", node);
     request.headers.push_back({header, "1"});
     request.timeout = fetchTimeout;
-    this->context.client.fetch(request, largestSnapshot, [this, node](const net::ClientAnswer &answer) {
-        this->isFetching = false;
-        this->received(node, answer);
-    });
+    this->context.client.fetch(request, largestSnapshot,
+                               [this, node, watched = std::weak_ptr<bool>(this->alive)](const net::ClientAnswer &answer) {
+                                   if (!watched.expired()) {
+                                       this->isFetching = false;
+                                       this->received(node, answer);
+                                   }
+                               });
 }
 
 std::string SnapshotExchange::snapshot() const
--- a/src/mesh/snapshotexchange.h
+++ b/src/mesh/snapshotexchange.h
@@ -3,6 +3,7 @@
 #include "mesh/keepers.h"
 #include "mesh/meshcontext.h"
 
+#include <memory>
 #include <string>
 
 namespace figpulley::mesh
@@ -31,5 +32,6 @@
     ConfigKeeper &config;
     DirectoryKeeper &directory;
     bool isFetching = false;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true); // a fetch may end after this object
 };
 } // namespace figpulley::mesh
