A stop that runs out of time answers what is still open

Ruled out: the endpoint's silence; the request waited, the service was overloaded. Change: while stopping, deadlines end 0.6 s before the grace time, so that the gate gives up waiting requests as not run; what is open at the end is answered, as not run where that is certain. Test: mesh, a stop that runs out of time.

--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -187,7 +187,9 @@
     const auto elapsed = now - this->blackboard.lifecycle.read().stopRequestedAt;
     const bool isQuiet = this->inFlight() == 0 && now - this->outbound->lastArrival() > quietBeforeEnd;
     if ((elapsed > shortestStop && isQuiet) || elapsed > this->settings.grace - graceMargin) {
-        std::exchange(this->onStopped, nullptr)(this->inFlight());
+        const auto cut = this->inFlight();
+        this->outbound->answerOpen();
+        std::exchange(this->onStopped, nullptr)(cut);
         return;
     }
     this->stopTimer = this->loop.after(stopCheck, [this] { this->checkStop(); });
--- a/src/mesh/outboundface.cpp
+++ b/src/mesh/outboundface.cpp
@@ -28,6 +28,7 @@
 constexpr core::Duration hopAllowance = 20ms; // the gate gives up first, and so can say that a waiting request has not run
 constexpr core::Duration shortestUsefulTime = 2 * hopAllowance;
 constexpr core::Duration stopRefusalAfter = 3s; // two readiness checks a second apart have failed by then
+constexpr core::Duration stopMargin = 600ms; // before the end of the grace time, for answers to be written
 constexpr core::Duration noEndpointRetryAfter = 300ms;
 constexpr int mostHops = 4; // nodes that are asked for one request, refusals included
 constexpr int httpInternalError = 500;
@@ -64,12 +65,12 @@
         , exchange(std::move(exchange))
         , arrived(core::steadyNow())
     {
-        ++this->face.callsInFlight;
+        this->face.calls.insert(this);
     }
 
     ~Call()
     {
-        --this->face.callsInFlight;
+        this->face.calls.erase(this);
     }
 
     Call(const Call &) = delete;
@@ -103,6 +104,10 @@
         this->isNested = this->isNested || parent.has_value();
         this->face.retryBudget.countRequest(this->service, this->chain.isRepeat, this->arrived);
         this->deadline = this->arrived + std::min(head.patience.value_or(assumedPatience), this->route->timeout);
+        if (lifecycle.isStopping) {
+            // What cannot be done before the process ends is given up by the gate, as not run.
+            this->deadline = std::min(this->deadline, lifecycle.stopRequestedAt + context.settings.grace - stopMargin);
+        }
         this->target = this->arrived + this->route->objective;
         this->exchange->onCancelled([weak = this->weak_from_this()] {
             if (const auto self = weak.lock()) {
@@ -118,6 +123,20 @@
         this->attempt();
     }
 
+    /// Gives the request its final answer now.
+    void timedOut()
+    {
+        const auto keepAlive = this->shared_from_this();
+        if (this->relay && this->relay->isStreaming()) {
+            this->relay->cancel();
+            return;
+        }
+        // What was sent may have run.
+        this->mayHaveRun = this->mayHaveRun || this->isSent;
+        this->cancelAttempt();
+        this->giveUp(ErrorKind::QueueTimeout, noEndpointRetryAfter);
+    }
+
 private:
     void attempt()
     {
@@ -253,19 +272,6 @@
         this->attempt();
     }
 
-    void timedOut()
-    {
-        const auto keepAlive = this->shared_from_this();
-        if (this->relay && this->relay->isStreaming()) {
-            this->relay->cancel();
-            return;
-        }
-        // What was sent may have run.
-        this->mayHaveRun = this->mayHaveRun || this->isSent;
-        this->cancelAttempt();
-        this->giveUp(ErrorKind::QueueTimeout, noEndpointRetryAfter);
-    }
-
     void callerLeft()
     {
         const auto keepAlive = this->shared_from_this();
@@ -383,7 +389,20 @@
 
 std::size_t OutboundFace::inFlight() const noexcept
 {
-    return this->callsInFlight;
+    return this->calls.size();
+}
+
+void OutboundFace::answerOpen()
+{
+    std::vector<std::shared_ptr<Call>> open;
+    for (auto *call : this->calls) {
+        if (auto held = call->weak_from_this().lock()) {
+            open.push_back(std::move(held));
+        }
+    }
+    for (const auto &call : open) {
+        call->timedOut();
+    }
 }
 
 core::TimePoint OutboundFace::lastArrival() const noexcept
--- a/src/mesh/outboundface.h
+++ b/src/mesh/outboundface.h
@@ -10,6 +10,7 @@
 #include "routing/splitpicker.h"
 
 #include <memory>
+#include <unordered_set>
 
 namespace figpulley::mesh
 {
@@ -25,6 +26,9 @@
 
     void setRetryBudget(const routing::RetryBudgetRules &rules);
 
+    /// Answers all requests that are still open, since the process ends: as not run where that is certain.
+    void answerOpen();
+
     /// Requests that are not answered yet.
     [[nodiscard]] std::size_t inFlight() const noexcept;
 
@@ -42,7 +46,7 @@
     routing::EndpointPicker picker;
     routing::RetryBudget retryBudget;
     routing::SplitPicker splits;
-    std::size_t callsInFlight = 0;
+    std::unordered_set<Call *> calls;
     core::TimePoint arrivedLast {};
     std::string ownIp;
     std::unique_ptr<net::RelayServer> server;
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -220,6 +220,31 @@
     story.equal(stopped.get_future().get(), 0U, "and nothing is cut");
 }
 
+Test(mesh, a_stop_that_runs_out_of_time)
+{
+    tests::Story story;
+    tests::MeshBed bed;
+    bed.publish();
+    std::vector<std::shared_ptr<net::HttpExchange>> held;
+    bed.add("m1", "motivi", [&](const std::shared_ptr<net::HttpExchange> &exchange) { held.push_back(exchange); });
+    bed.add("c1", "commesse");
+    bed.setGrace("c1", std::chrono::seconds(1));
+    bed.heartbeat("m1", 1);
+    bed.waitReady("c1", 1);
+    net::ClientAnswer answer;
+    std::thread client([&] { answer = bed.request("c1", "/order/1", "POST"); });
+    bed.waitUntil([&] { return !held.empty(); });
+    std::promise<std::size_t> stopped;
+    bed.stop("c1", stopped);
+    story.equal(stopped.get_future().get(), 1U, "a request was still open at the end of the grace time");
+    client.join();
+    story.equal(answer.head.status, 504, "and got an answer, since it may have run");
+    bed.onLoop([&] {
+        held.clear();
+        return true;
+    });
+}
+
 Test(mesh, headers_between_nodes)
 {
     tests::holds("an attempt's head is read as it was written", [] {
--- a/tests/support/meshbed.h
+++ b/tests/support/meshbed.h
@@ -113,6 +113,16 @@
         this->thread.call([&] { this->vms.at(name).settings.upstream = address; });
     }
 
+    /// Changes a running node's grace time, as a reload of its settings does.
+    void setGrace(const std::string &name, core::Duration grace)
+    {
+        this->thread.call([&] {
+            auto &vm = this->vms.at(name);
+            vm.settings.grace = grace;
+            vm.node->reload(vm.settings);
+        });
+    }
+
     void start(const std::string &name)
     {
         this->thread.call([&] {
