--- a/src/discovery/localendpoint.cpp
+++ b/src/discovery/localendpoint.cpp
@@ -138,9 +138,4 @@
 {
     return this->known;
 }
-
-core::TimePoint LocalEndpoint::lastHeard() const noexcept
-{
-    return this->heardAt;
-}
 } // namespace figpulley::discovery
--- a/src/discovery/localendpoint.h
+++ b/src/discovery/localendpoint.h
@@ -55,8 +55,6 @@
     /// What is known; nothing before the first heartbeat or stored record.
     [[nodiscard]] const std::optional<EndpointRecord> &record() const noexcept;
 
-    [[nodiscard]] core::TimePoint lastHeard() const noexcept;
-
 private:
     [[nodiscard]] bool isNewIncarnation(const std::string &id, std::int64_t incarnation) const noexcept;
 
--- a/src/mesh/collectionfollower.cpp
+++ b/src/mesh/collectionfollower.cpp
@@ -36,11 +36,6 @@
     this->list({});
 }
 
-bool CollectionFollower::isReachable() const noexcept
-{
-    return this->isAnswering;
-}
-
 void CollectionFollower::list(const std::string &after)
 {
     if (after.empty()) {
--- a/src/mesh/collectionfollower.h
+++ b/src/mesh/collectionfollower.h
@@ -31,9 +31,6 @@
 
     void start();
 
-    /// Whether the last call was answered.
-    [[nodiscard]] bool isReachable() const noexcept;
-
 private:
     void list(const std::string &after);
     void listed(const store::CollectionItems &page);
--- a/src/mesh/gateface.cpp
+++ b/src/mesh/gateface.cpp
@@ -31,7 +31,6 @@
 constexpr int httpOk = 200;
 constexpr int httpFirstFailure = 300;
 constexpr int httpBadGateway = 502;
-constexpr std::size_t largestRequestBody = 64UL << 20U;
 
 // Answers with these statuses promise that the request has not run and never will.
 constexpr std::array<int, 4> notRunStatuses {408, 421, 429, 503};
@@ -294,8 +293,7 @@
     , snapshots(snapshots)
 {
     this->server = std::make_unique<net::RelayServer>(
-        context.loop, context.settings.ingress, [this](std::shared_ptr<net::HttpExchange> exchange) { this->accept(std::move(exchange)); },
-        net::RelayServerLimits {.bodyBytes = largestRequestBody});
+        context.loop, context.settings.ingress, [this](std::shared_ptr<net::HttpExchange> exchange) { this->accept(std::move(exchange)); });
 }
 
 GateFace::~GateFace()
--- a/src/mesh/outboundface.cpp
+++ b/src/mesh/outboundface.cpp
@@ -32,7 +32,6 @@
 constexpr core::Duration noEndpointRetryAfter = 300ms;
 constexpr int mostHops = 4; // nodes that are asked for one request, refusals included
 constexpr int httpInternalError = 500;
-constexpr std::size_t largestRequestBody = 64UL << 20U;
 
 AttemptEnd endOf(ErrorKind kind)
 {
@@ -155,7 +154,6 @@
         }
         this->node = endpoint->record.node;
         this->tried.push_back(this->node);
-        this->sentAt = now;
         AttemptHead head;
         head.endpointId = endpoint->record.id;
         head.service = this->service;
@@ -358,7 +356,6 @@
     core::TimePoint arrived;
     core::TimePoint deadline {};
     core::TimePoint target {};
-    core::TimePoint sentAt {};
     core::Duration lastRetryAfter = noEndpointRetryAfter;
     ErrorKind lastRefusal = ErrorKind::NoEndpoint;
     net::EventLoop::TimerId timer = net::EventLoop::noTimer;
@@ -375,9 +372,9 @@
     , retryBudget(context.settings.retryBudget)
     , ownIp(context.settings.entrance.ip)
 {
-    this->server = std::make_unique<net::RelayServer>(
-        context.loop, context.settings.entrance, [this](std::shared_ptr<net::HttpExchange> exchange) { this->accept(std::move(exchange)); },
-        net::RelayServerLimits {.bodyBytes = largestRequestBody});
+    this->server =
+        std::make_unique<net::RelayServer>(context.loop, context.settings.entrance,
+                                           [this](std::shared_ptr<net::HttpExchange> exchange) { this->accept(std::move(exchange)); });
 }
 
 OutboundFace::~OutboundFace() = default;
