Clients of a VM are roots, though they have its endpoint's address

Ruled out: the rule of Little's law itself. Change: the id's parent alone decides, in routing::ChainTable::contextOf. Test: routing, calls of a run go with their root.

--- a/src/mesh/gateface.cpp
+++ b/src/mesh/gateface.cpp
@@ -126,7 +126,7 @@
         auto &context = this->face.context;
         const auto &incoming = this->exchange->request();
         this->started = core::steadyNow();
-        this->face.chainTable.begin(this->requestId, {this->head.rank, this->head.isRepeat});
+        this->face.chainTable.begin(this->requestId, {this->head.rank, this->head.isRepeat, this->head.isNested});
         net::ClientRequest request;
         request.method = incoming.method;
         request.url = fmt::format("http://{}{}{}", context.settings.upstream.toString(), incoming.path, incoming.query);
--- a/src/mesh/outboundface.cpp
+++ b/src/mesh/outboundface.cpp
@@ -97,10 +97,7 @@
             return;
         }
         this->service = this->face.splits.pick(*this->route, context.random);
-        this->isNested = this->exchange->peerIp() == this->face.ownIp;
-        const auto parent = this->face.chains.find(context.wire.parentOf(this->requestId));
-        this->chain = parent ? *parent : routing::ChainContext {routing::rootRank(this->route->priority, this->requestId), false};
-        this->isNested = this->isNested || parent.has_value();
+        this->chain = this->face.chains.contextOf(context.wire.parentOf(this->requestId), this->requestId, this->route->priority);
         this->face.retryBudget.countRequest(this->service, this->chain.isRepeat, this->arrived);
         this->deadline = this->arrived + std::min(head.patience.value_or(assumedPatience), this->route->timeout);
         if (lifecycle.isStopping) {
@@ -162,10 +159,10 @@
         head.rank = this->chain.rank;
         head.isRepeat = this->chain.isRepeat || this->runs > 0;
         head.isIdempotent = this->route->isIdempotent();
-        head.isNested = this->isNested;
+        head.isNested = this->chain.isNested;
         head.remaining = this->deadline - now - hopAllowance;
         // A request that was begun fails with any call that it makes, so a nested call is worth its whole time.
-        head.objectiveLeft = this->isNested ? head.remaining : this->target - now;
+        head.objectiveLeft = this->chain.isNested ? head.remaining : this->target - now;
         head.configVersion = this->table->version();
         this->send(head);
     }
@@ -362,7 +359,6 @@
     int runs = 0; // attempts that may have run
     bool mayHaveRun = false;
     bool isSent = false;
-    bool isNested = false;
 };
 
 OutboundFace::OutboundFace(MeshContext context, SnapshotExchange &snapshots, routing::ChainTable &chains)
@@ -370,7 +366,6 @@
     , snapshots(snapshots)
     , chains(chains)
     , retryBudget(context.settings.retryBudget)
-    , ownIp(context.settings.entrance.ip)
 {
     this->server =
         std::make_unique<net::RelayServer>(context.loop, context.settings.entrance,
--- a/src/mesh/outboundface.h
+++ b/src/mesh/outboundface.h
@@ -48,7 +48,6 @@
     routing::SplitPicker splits;
     std::unordered_set<Call *> calls;
     core::TimePoint arrivedLast {};
-    std::string ownIp;
     std::unique_ptr<net::RelayServer> server;
 };
 } // namespace figpulley::mesh
--- a/src/routing/chaintable.cpp
+++ b/src/routing/chaintable.cpp
@@ -28,10 +28,17 @@
     }
 }
 
-std::optional<ChainContext> ChainTable::find(std::string_view requestId) const
+// The address of the caller tells nothing: clients of a VM have the same one as its endpoint. The run is not known here if this process
+// is younger than the run; its calls then have the rank of their own route.
+ChainContext ChainTable::contextOf(std::string_view parentId, std::string_view requestId, int priority) const
 {
-    const auto found = this->running.find(std::string(requestId));
-    return found == this->running.end() ? std::nullopt : std::optional(found->second.context);
+    const auto found = parentId.empty() ? this->running.end() : this->running.find(std::string(parentId));
+    if (found == this->running.end()) {
+        return {rootRank(priority, requestId), false, !parentId.empty()};
+    }
+    auto context = found->second.context;
+    context.isNested = true;
+    return context;
 }
 
 core::Rank rootRank(int priority, std::string_view requestId) noexcept
--- a/src/routing/chaintable.h
+++ b/src/routing/chaintable.h
@@ -3,7 +3,6 @@
 #include "core/rank.h"
 #include "core/time.h"
 
-#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -15,6 +14,7 @@
 {
     core::Rank rank; ///< of the root; decides who is served when there is not room for all
     bool isRepeat = false; ///< the run repeats an earlier one, so its calls repeat earlier calls
+    bool isNested = false; ///< the request itself is a call of a run, which waits for it
 
     [[nodiscard]] bool operator==(const ChainContext &) const = default;
 };
@@ -31,8 +31,11 @@
     /// A call of a request has ended.
     void addNested(std::string_view requestId, core::Duration duration);
 
-    /// @param requestId of the request that makes a call
-    [[nodiscard]] std::optional<ChainContext> find(std::string_view requestId) const;
+    /// What a request that arrives from this VM starts with: what the run that makes it hands down, or its own as a root.
+    /// @param parentId of the request that makes it; empty for a root
+    /// @param requestId its own
+    /// @param priority of its route, 0 is the most urgent
+    [[nodiscard]] ChainContext contextOf(std::string_view parentId, std::string_view requestId, int priority) const;
 
 private:
     struct Running
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -204,3 +204,26 @@
         }
     });
 }
+
+Test(routing, calls_of_a_run_go_with_their_root)
+{
+    tests::Story story;
+    routing::ChainTable chains;
+    const auto root = chains.contextOf("", "r1", 2);
+    story.section("a client's request, though it comes from the address of the endpoint", [&] {
+        story.check(!root.isNested, "is a root");
+        story.check(root.rank == routing::rootRank(2, "r1"), "with the rank of its route");
+    });
+    chains.begin("r1", {root.rank, true, false});
+    story.section("a call of its run", [&] {
+        const auto call = chains.contextOf("r1", "r1.c1", 0);
+        story.check(call.isNested, "is nested");
+        story.check(call.rank == root.rank, "keeps the rank of the root, whatever its own route says");
+        story.check(call.isRepeat, "and repeats what the run repeats");
+    });
+    story.section("a call of a run that began before this process", [&] {
+        const auto call = chains.contextOf("r0", "r0.c1", 1);
+        story.check(call.isNested, "is nested too, since a run waits for it");
+        story.check(call.rank == routing::rootRank(1, "r0.c1"), "with the rank of its own route");
+    });
+}
