A few nodes of a zone watch the store, the others ask them

Ruled out: longer waits, since a watch that was dropped without a word must be noticed within the time in which a change has to be in force. Change: discovery::watchersOf gives one watcher and one more for each 64 nodes of a zone; mesh::RelayedStore asks one of them and turns to the store when it does not answer, does not watch or cannot reach the store; mesh::ChangeRelay and store::ChangeLog answer. A series of single changes is caught up with by one list. The stand-in of the store ends a watch after its wait.

--- a/src/discovery/discovery.h
+++ b/src/discovery/discovery.h
@@ -6,3 +6,4 @@
 #include "discovery/endpointrecord.h"
 #include "discovery/fwd.h"
 #include "discovery/localendpoint.h"
+#include "discovery/watchers.h"
--- /dev/null
+++ b/src/discovery/watchers.cpp
@@ -0,0 +1,38 @@
+#include "discovery/watchers.h"
+
+#include <algorithm>
+#include <cstdint>
+
+#include <xxhash.h>
+
+namespace figpulley::discovery
+{
+namespace
+{
+constexpr std::size_t nodesPerWatcher = 64; // each asks about twice a second, which takes under one percent of a watcher's core
+
+std::uint64_t scoreOf(std::string_view node, std::uint64_t seed)
+{
+    return XXH3_64bits_withSeed(node.data(), node.size(), seed);
+}
+} // namespace
+
+std::vector<std::string> watchersOf(const Directory &directory, std::string_view zone, std::string_view asker)
+{
+    std::vector<std::string_view> nodes;
+    for (const auto *known : directory.all()) {
+        if (known->record.zone == zone && takesRequests(known->record.state)) {
+            nodes.push_back(known->record.node);
+        }
+    }
+    const auto count = std::min(nodes.size(), 1 + nodes.size() / nodesPerWatcher);
+    const auto bySeed = [](std::uint64_t seed) {
+        return [seed](std::string_view left, std::string_view right) { return scoreOf(left, seed) > scoreOf(right, seed); };
+    };
+    const auto end = nodes.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(nodes.begin(), end, nodes.end(), bySeed(0));
+    // Those who ask spread over the watchers.
+    std::sort(nodes.begin(), end, bySeed(scoreOf(asker, 1)));
+    return {nodes.begin(), end};
+}
+} // namespace figpulley::discovery
--- a/src/mesh/collectionfollower.cpp
+++ b/src/mesh/collectionfollower.cpp
@@ -17,6 +17,7 @@
 constexpr core::Duration shortestBackoff = 150ms;
 constexpr core::Duration longestBackoff = 800ms; // under half of the 2 s within which the node has caught up after an outage
 constexpr int mostDoublings = 4;
+constexpr int longSeries = 3; // changes that were told one by one
 } // namespace
 
 CollectionFollower::CollectionFollower(store::CollectionStore &store, std::string collection, CollectionListener listener, Scheduler later,
@@ -41,6 +42,7 @@
     if (after.empty()) {
         this->names.clear();
         this->listRevision = 0;
+        this->pages = 0;
     }
     this->store.list(this->collection, after, [weak = this->weak_from_this()](const store::CollectionItems &page) {
         if (const auto self = weak.lock()) {
@@ -56,6 +58,7 @@
         this->retry([](CollectionFollower &self) { self.list({}); });
         return;
     }
+    ++this->pages;
     // Changes made while further pages are read are seen by a watch from the first page's revision.
     if (this->listRevision == 0) {
         this->listRevision = page.revision;
@@ -70,6 +73,7 @@
     }
     this->listener.onListed(this->names, this->listRevision);
     this->revision = this->listRevision;
+    this->listener.onCaughtUp(this->revision);
     this->watch();
 }
 
@@ -106,13 +110,22 @@
         this->listener.onItem(item);
     }
     this->revision = std::max(this->revision, changes.revision);
+    this->listener.onCaughtUp(this->revision);
+    this->seriesLength = changes.items.empty() ? 0 : this->seriesLength + 1;
     if (changes.items.empty() || this->pause.count() == 0) {
         this->watch();
         return;
     }
-    this->later(this->pause, [weak = this->weak_from_this()] {
+    // A watch may tell of one change a call; a list of one page tells of a long series in one.
+    const bool isSeries = this->seriesLength >= longSeries && this->pages == 1;
+    this->later(this->pause, [weak = this->weak_from_this(), isSeries] {
         if (const auto self = weak.lock()) {
-            self->watch();
+            if (isSeries) {
+                self->seriesLength = 0;
+                self->list({});
+            } else {
+                self->watch();
+            }
         }
     });
 }
--- a/src/mesh/collectionfollower.h
+++ b/src/mesh/collectionfollower.h
@@ -16,6 +16,7 @@
 {
     std::function<void(const store::CollectionItem &)> onItem; ///< an object was listed, has changed or was deleted
     std::function<void(const std::unordered_set<std::string> &, std::uint64_t)> onListed; ///< names of a complete list, and its revision
+    std::function<void(std::uint64_t)> onCaughtUp; ///< all changes up to a revision have been told
 };
 
 /// Keeps up with one collection: lists it, then watches it, and lists it again when the store has discarded its history.
@@ -50,6 +51,8 @@
     std::uint64_t listRevision = 0;
     std::uint64_t revision = 0;
     int failures = 0;
+    int seriesLength = 0; // watches in a row that told of changes
+    std::size_t pages = 0; // of the last list
     bool isAnswering = true;
 };
 } // namespace figpulley::mesh
--- a/src/mesh/fwd.h
+++ b/src/mesh/fwd.h
@@ -3,6 +3,7 @@
 /// Forward declarations of a node that finds its peers through the object store.
 namespace figpulley::mesh
 {
+class ChangeRelay;
 class CollectionFollower;
 class ConfigKeeper;
 class ControlFace;
@@ -11,6 +12,7 @@
 class LocalRecorder;
 class MeshNode;
 class OutboundFace;
+class RelayedStore;
 class SnapshotExchange;
 class WireFormat;
 struct AttemptHead;
--- a/src/mesh/gateface.cpp
+++ b/src/mesh/gateface.cpp
@@ -288,9 +288,10 @@
     bool isSpoilt = false; // a large answer turned out not to be the endpoint's
 };
 
-GateFace::GateFace(MeshContext context, SnapshotExchange &snapshots)
+GateFace::GateFace(MeshContext context, SnapshotExchange &snapshots, ChangeRelay &changes)
     : context(context)
     , snapshots(snapshots)
+    , changes(changes)
 {
     this->server = std::make_unique<net::RelayServer>(
         context.loop, context.settings.ingress, [this](std::shared_ptr<net::HttpExchange> exchange) { this->accept(std::move(exchange)); });
@@ -338,6 +339,10 @@
         exchange->answer({httpOk, {{"Content-Type", "application/json"}}, this->snapshots.snapshot()});
         return;
     }
+    if (!net::findHeader(request.headers, ChangeRelay::header).empty()) {
+        this->changes.accept(exchange);
+        return;
+    }
     auto head = decodeAttemptHead(net::findHeader(request.headers, node::callHeader));
     if (!head) {
         core::CallOutcome outcome;
--- a/src/mesh/gateface.h
+++ b/src/mesh/gateface.h
@@ -2,6 +2,7 @@
 
 #include "gate/slotqueue.h"
 #include "mesh/attempthead.h"
+#include "mesh/changerelay.h"
 #include "mesh/meshcontext.h"
 #include "mesh/snapshotexchange.h"
 #include "net/relayserver.h"
@@ -18,7 +19,7 @@
 class GateFace
 {
 public:
-    GateFace(MeshContext context, SnapshotExchange &snapshots);
+    GateFace(MeshContext context, SnapshotExchange &snapshots, ChangeRelay &changes);
     ~GateFace();
     GateFace(const GateFace &) = delete;
     GateFace &operator=(const GateFace &) = delete;
@@ -46,6 +47,7 @@
     void armExpiry();
     MeshContext context;
     SnapshotExchange &snapshots;
+    ChangeRelay &changes;
     gate::SlotQueue queue;
     routing::ChainTable chainTable;
     std::unordered_map<std::uint64_t, std::shared_ptr<Run>> runs;
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -1,6 +1,7 @@
 #include "mesh/meshnode.h"
 
 #include "core/log.h"
+#include "discovery/watchers.h"
 #include "mesh/wireformat.h"
 
 #include <algorithm>
@@ -20,10 +21,9 @@
 constexpr core::Duration shortestStop = 3s; // clients are still sent here until two readiness checks a second apart have failed
 constexpr core::Duration quietBeforeEnd = 300ms;
 constexpr core::Duration graceMargin = 300ms; // the process ends before it is killed
-constexpr core::Duration endpointsPause = 150ms; // changes of endpoints come in series; the gates are exact meanwhile
+constexpr core::Duration endpointsPause = 50ms; // changes of endpoints come in series; the gates are exact meanwhile
 constexpr core::Duration loadInterval = 2s; // between two lines about the node's load
-constexpr core::Duration routesWatchWait = 1s; // a change has to be in force within 2 s, and a watch may be dropped without a word
-constexpr core::Duration endpointsWatchWait = 4s;
+constexpr core::Duration shortestWatchWait = 1s; // a change has to be in force within 2 s, and a watch may be dropped without a word
 constexpr core::Duration longestWatchWait = 30s; // the store takes no longer ones
 constexpr core::Duration watchWaitPerNode = 250ms; // of the own zone: four watches a second and zone
 constexpr double watchJitter = 0.2; // nodes that start together spread out
@@ -49,13 +49,15 @@
     , config(this->blackboard, wire)
     , directory(this->blackboard)
     , snapshots(this->context, this->config, this->directory)
+    , changes(this->context)
+    , relayedStore(this->context, this->changes)
 {
     this->recorder = std::make_shared<LocalRecorder>(this->context, [this] {
         if (this->gate) {
             this->gate->closeGate();
         }
     });
-    this->gate = std::make_unique<GateFace>(this->context, this->snapshots);
+    this->gate = std::make_unique<GateFace>(this->context, this->snapshots, this->changes);
     this->outbound = std::make_unique<OutboundFace>(this->context, this->snapshots, this->gate->chains());
     this->control = std::make_unique<ControlFace>(this->context, *this->recorder, [this] { return this->isReady(); });
 }
@@ -66,24 +68,39 @@
     this->loop.cancel(this->stopTimer);
 }
 
-// The nodes of a zone share the work of watching: whichever hears of a newer configuration first tells the others with its next
-// requests. So each node's watch may be the longer, the more nodes its zone has; the store's load does not grow with the fleet.
-core::Duration MeshNode::watchWait(core::Duration shortest)
+// The watchers of a zone share its rate of calls. A node that turns to the store since it cannot ask a watcher is likely to be one of
+// many, so it counts all nodes of the zone; whichever hears of a newer configuration first tells the others with its next requests.
+core::Duration MeshNode::watchWait()
 {
-    const auto inZone = this->blackboard.directory.read().countInZone(this->settings.availabilityZone);
-    const auto shared = watchWaitPerNode * static_cast<std::int64_t>(inZone);
-    const auto wait = std::clamp(shared, shortest, longestWatchWait);
+    const auto own = this->settings.ingress.toString();
+    const auto &directory = this->blackboard.directory.read();
+    const auto watchers = discovery::watchersOf(directory, this->settings.availabilityZone, own);
+    const bool isWatcher = std::find(watchers.begin(), watchers.end(), own) != watchers.end();
+    const auto sharing = isWatcher ? watchers.size() : directory.countInZone(this->settings.availabilityZone);
+    const auto wait = std::clamp(watchWaitPerNode * static_cast<std::int64_t>(sharing), shortestWatchWait, longestWatchWait);
     return std::chrono::duration_cast<core::Duration>(wait * (1 - watchJitter * core::uniform(this->random)));
 }
 
-std::shared_ptr<CollectionFollower> MeshNode::follow(const std::string &collection, CollectionListener listener,
-                                                     core::Duration shortestWait, core::Duration pause)
+std::shared_ptr<CollectionFollower> MeshNode::follow(const std::string &collection, CollectionListener listener, core::Duration pause)
 {
+    auto &log = this->changes.log(collection);
+    CollectionListener logged;
+    logged.onItem = [listener, &log](const store::CollectionItem &item) {
+        listener.onItem(item);
+        log.put(item);
+    };
+    logged.onListed = [listener, &log](const std::unordered_set<std::string> &names, std::uint64_t revision) {
+        listener.onListed(names, revision);
+        log.reset(names, revision);
+    };
+    logged.onCaughtUp = [this, collection, &log](std::uint64_t revision) {
+        log.advance(revision);
+        this->changes.caughtUp(collection);
+    };
     auto &eventLoop = this->loop;
     const auto later = [&eventLoop](core::Duration delay, std::function<void()> callback) { eventLoop.after(delay, std::move(callback)); };
     auto follower = std::make_shared<CollectionFollower>(
-        this->context.store, collection, std::move(listener), later, this->random,
-        [this, shortestWait] { return this->watchWait(shortestWait); }, pause);
+        this->relayedStore, collection, std::move(logged), later, this->random, [this] { return this->watchWait(); }, pause);
     follower->start();
     return follower;
 }
@@ -97,7 +114,7 @@
         }
     };
     routes.onListed = [](const std::unordered_set<std::string> &, std::uint64_t) {};
-    this->routesFollower = this->follow(this->wire.routesCollection(), std::move(routes), routesWatchWait, core::Duration {});
+    this->routesFollower = this->follow(this->wire.routesCollection(), std::move(routes), core::Duration {});
 
     CollectionListener endpoints;
     endpoints.onItem = [this](const store::CollectionItem &item) {
@@ -110,7 +127,7 @@
     endpoints.onListed = [this](const std::unordered_set<std::string> &names, std::uint64_t revision) {
         this->directory.retain(names, revision);
     };
-    this->endpointsFollower = this->follow(LocalRecorder::collection, std::move(endpoints), endpointsWatchWait, endpointsPause);
+    this->endpointsFollower = this->follow(LocalRecorder::collection, std::move(endpoints), endpointsPause);
     this->recorder->start();
     this->reportLoad();
     core::log(core::LogLevel::Info, "node.started",
@@ -177,6 +194,7 @@
     auto &lifecycle = this->blackboard.lifecycle.write();
     lifecycle.isStopping = true;
     lifecycle.stopRequestedAt = core::steadyNow();
+    this->changes.close();
     core::log(core::LogLevel::Info, "node.stopping", {{"in_flight", fmt::to_string(this->inFlight())}});
     this->checkStop();
 }
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mesh/changerelay.h"
 #include "mesh/collectionfollower.h"
 #include "mesh/controlface.h"
 #include "mesh/gateface.h"
@@ -8,6 +9,7 @@
 #include "mesh/meshboard.h"
 #include "mesh/meshsettings.h"
 #include "mesh/outboundface.h"
+#include "mesh/relayedstore.h"
 #include "mesh/snapshotexchange.h"
 #include "net/relayclient.h"
 
@@ -46,8 +48,8 @@
     void reportLoad();
     [[nodiscard]] std::size_t inFlight() const noexcept;
     [[nodiscard]] std::shared_ptr<CollectionFollower> follow(const std::string &collection, CollectionListener listener,
-                                                             core::Duration shortestWait, core::Duration pause);
-    [[nodiscard]] core::Duration watchWait(core::Duration shortest);
+                                                             core::Duration pause);
+    [[nodiscard]] core::Duration watchWait();
 
     net::EventLoop &loop;
     MeshSettings settings;
@@ -61,6 +63,8 @@
     ConfigKeeper config;
     DirectoryKeeper directory;
     SnapshotExchange snapshots;
+    ChangeRelay changes;
+    RelayedStore relayedStore;
     std::shared_ptr<LocalRecorder> recorder;
     std::unique_ptr<GateFace> gate;
     std::unique_ptr<OutboundFace> outbound;
--- /dev/null
+++ b/src/store/changelog.cpp
@@ -0,0 +1,61 @@
+#include "store/changelog.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace figpulley::store
+{
+void ChangeLog::put(const CollectionItem &item)
+{
+    auto &known = this->items[item.name];
+    if (known.revision >= item.revision) {
+        return;
+    }
+    known = item;
+    this->changes.push_back(item);
+    if (this->changes.size() > mostChanges) {
+        this->since = std::max(this->since, this->changes.front().revision);
+        this->changes.pop_front();
+    }
+    if (item.isDeleted) {
+        this->items.erase(item.name);
+    }
+}
+
+void ChangeLog::reset(const std::unordered_set<std::string> &names, std::uint64_t revision)
+{
+    std::erase_if(this->items, [&](const auto &entry) { return !names.contains(entry.first) && entry.second.revision <= revision; });
+    std::erase_if(this->changes, [revision](const CollectionItem &item) { return item.revision <= revision; });
+    this->since = revision;
+    this->latest = revision;
+}
+
+void ChangeLog::advance(std::uint64_t revision)
+{
+    this->latest = std::max(this->latest, revision);
+}
+
+std::optional<std::vector<CollectionItem>> ChangeLog::after(std::uint64_t revision) const
+{
+    if (this->latest == 0 || revision < this->since) {
+        return std::nullopt;
+    }
+    std::vector<CollectionItem> later;
+    std::copy_if(this->changes.begin(), this->changes.end(), std::back_inserter(later),
+                 [revision](const CollectionItem &item) { return item.revision > revision; });
+    return later;
+}
+
+std::vector<CollectionItem> ChangeLog::all() const
+{
+    std::vector<CollectionItem> list;
+    list.reserve(this->items.size());
+    std::transform(this->items.begin(), this->items.end(), std::back_inserter(list), [](const auto &entry) { return entry.second; });
+    return list;
+}
+
+std::uint64_t ChangeLog::revision() const noexcept
+{
+    return this->latest;
+}
+} // namespace figpulley::store
--- a/src/store/fwd.h
+++ b/src/store/fwd.h
@@ -3,8 +3,13 @@
 /// Forward declarations of the object stores.
 namespace figpulley::store
 {
+class ChangeLog;
+class CollectionStore;
 class HttpObjectStore;
 class ObjectStore;
+struct CollectionItem;
+struct CollectionItems;
+struct ItemResult;
 struct StoredObject;
 struct StoreResult;
 } // namespace figpulley::store
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -1,6 +1,8 @@
 #pragma once
 
 /// Umbrella header of the object stores.
+#include "store/changelog.h"
+#include "store/collectionstore.h"
 #include "store/fwd.h"
 #include "store/httpobjectstore.h"
 #include "store/objectstore.h"
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -179,3 +179,39 @@
         RC_ASSERT(!discovery::decodeEndpointRecord(R"({"node":1,"id":[],"service":{}})"));
     });
 }
+
+Test(discovery, few_nodes_watch_the_store)
+{
+    tests::Story story;
+    const auto fleet = [](int size) {
+        discovery::Directory directory;
+        for (int at = 0; at < size; ++at) {
+            discovery::EndpointRecord record;
+            record.node = "10.0." + std::to_string(at / 250) + "." + std::to_string(at % 250) + ":80";
+            record.id = "i-" + std::to_string(at);
+            record.service = "motivi";
+            record.zone = at % 2 == 0 ? "mineo" : "vizzini";
+            record.incarnation = 1;
+            directory.put(record, static_cast<std::uint64_t>(at) + 1, core::TimePoint {} + 1h);
+        }
+        return directory;
+    };
+    story.check(discovery::watchersOf(fleet(0), "mineo", "x").empty(), "nobody watches for an empty zone");
+    story.equal(discovery::watchersOf(fleet(16), "mineo", "x").size(), 1U, "one watches for a small zone");
+    story.equal(discovery::watchersOf(fleet(1300), "mineo", "x").size(), 11U, "eleven for 650 nodes");
+    const auto directory = fleet(400);
+    auto first = discovery::watchersOf(directory, "mineo", "10.0.0.2:80");
+    auto second = discovery::watchersOf(directory, "mineo", "10.0.0.4:80");
+    std::sort(first.begin(), first.end());
+    std::sort(second.begin(), second.end());
+    story.check(first == second, "all who ask agree on them");
+    story.section("one of them leaves", [&] {
+        auto changed = directory;
+        auto record = changed.find(first.front())->record;
+        record.state = discovery::EndpointState::Draining;
+        changed.put(record, 10'000, core::TimePoint {} + 2h);
+        const auto after = discovery::watchersOf(changed, "mineo", "10.0.0.2:80");
+        story.check(std::find(after.begin(), after.end(), first.front()) == after.end(), "and is not asked any more");
+        story.equal(after.size(), first.size(), "another takes its place");
+    });
+}
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -194,6 +194,52 @@
     });
 }
 
+Test(mesh, one_node_of_a_zone_watches_the_store)
+{
+    tests::Story story;
+    tests::MeshBed bed;
+    bed.publish();
+    const std::vector<std::string> names {"m1", "m2", "m3", "m4", "m5"};
+    for (const auto &name : names) {
+        bed.add(name, "motivi");
+        bed.heartbeat(name, 1);
+    }
+    for (const auto &name : names) {
+        bed.waitReady(name, names.size());
+    }
+    bed.waitUntil([&] { return bed.store->waiting() == 2; });
+    story.section("a change of the endpoints", [&] {
+        story.equal(bed.heartbeat("m1", 2, "draining"), 200, "is acknowledged by one node");
+        for (const auto &name : names) {
+            bed.waitReady(name, names.size() - 1);
+        }
+        story.equal(bed.onLoop([&] { return bed.store->waiting() <= 4; }), true, "and reaches all, though few of them watch");
+    });
+    story.section("a node that watches is gone", [&] {
+        for (const auto &name : names) {
+            bed.kill(name);
+            bed.publishVersion(++bed.version);
+            for (const auto &other : names) {
+                if (other != name) {
+                    bed.waitVersion(other, bed.version);
+                }
+            }
+            bed.start(name);
+            bed.heartbeat(name, 10, "ready", 300);
+            bed.waitVersion(name, bed.version);
+        }
+    });
+    story.section("the store turns the watcher away", [&] {
+        bed.onLoop([&] { return bed.store->fault = tests::MetadataStore::Fault::Busy; });
+        std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+        bed.onLoop([&] { return bed.store->fault = tests::MetadataStore::Fault::None; });
+        bed.publishVersion(++bed.version);
+        for (const auto &name : names) {
+            bed.waitVersion(name, bed.version);
+        }
+    });
+}
+
 Test(mesh, a_planned_stop)
 {
     tests::Story story;
--- a/tests/support/meshbed.h
+++ b/tests/support/meshbed.h
@@ -78,6 +78,24 @@
         this->thread.call([&] { this->store->write("config", "main", text); });
     }
 
+    /// Publishes the same routes under another version.
+    void publishVersion(int number)
+    {
+        std::string text = routes;
+        const std::string first = R"("Version":1)";
+        text.replace(text.find(first), first.size(), fmt::format(R"("Version":{})", number));
+        this->publish(text);
+    }
+
+    /// Waits until a node has a version of the routes in force.
+    void waitVersion(const std::string &name, int number)
+    {
+        this->waitUntil([&, number] {
+            const auto &table = this->vms.at(name).node->board().config.read().table;
+            return table != nullptr && table->version() == static_cast<std::uint64_t>(number);
+        });
+    }
+
     /// Adds a VM with its endpoint; the node is started.
     void add(const std::string &name, const std::string &service, Work work = answerOk)
     {
@@ -217,6 +235,7 @@
     }
 
     std::unique_ptr<MetadataStore> store;
+    int version = 1; ///< of the routes that were published last
 
 private:
     struct Vm
--- a/tests/support/metadatastore.h
+++ b/tests/support/metadatastore.h
@@ -64,10 +64,17 @@
         }
     }
 
+    /// Watches that wait for a change now.
+    [[nodiscard]] std::size_t waiting() const noexcept
+    {
+        return this->watches.size();
+    }
+
     Fault fault = Fault::None;
     int pageSize = 500;
     int calls = 0;
     int writes = 0;
+    int watchCalls = 0;
 
 private:
     using Key = std::pair<std::string, std::string>;
@@ -84,6 +91,7 @@
         std::shared_ptr<net::HttpExchange> exchange;
         std::string kind;
         std::uint64_t after = 0;
+        int number = 0;
     };
 
     void accept(std::shared_ptr<net::HttpExchange> exchange)
@@ -109,7 +117,8 @@
         } else if (!name.empty()) {
             this->getOne(*exchange, kind, name);
         } else if (const auto after = net::queryNumber(exchange->request().query, platform::names::watchParameter)) {
-            this->watch({exchange, kind, *after});
+            ++this->watchCalls;
+            this->watch({exchange, kind, *after, this->watchCalls});
         } else {
             this->list(*exchange, kind);
         }
@@ -145,10 +154,29 @@
         if (watch.after < this->oldest) {
             watch.exchange->answer({410, {}, "{}"});
         } else if (!this->tell(watch)) {
+            const auto wait = net::queryNumber(watch.exchange->request().query, platform::names::waitParameter).value_or(0);
+            this->loop.after(std::chrono::milliseconds(wait), [this, number = watch.number, held = std::weak_ptr<bool>(this->alive)] {
+                if (!held.expired()) {
+                    this->endWatch(number);
+                }
+            });
             this->watches.push_back(std::move(watch));
         }
     }
 
+    // Tells a watch whose time is over that nothing has changed.
+    void endWatch(int number)
+    {
+        std::erase_if(this->watches, [&](const Watch &watch) {
+            const bool isOver = watch.number == number;
+            if (isOver) {
+                watch.exchange->answer(
+                    {200, {}, nlohmann::json {{"events", nlohmann::json::array()}, {"CurrentRev", this->revision}}.dump()});
+            }
+            return isOver;
+        });
+    }
+
     bool tell(const Watch &watch)
     {
         auto events = nlohmann::json::array();
@@ -213,6 +241,7 @@
     std::vector<std::shared_ptr<net::HttpExchange>> unanswered;
     std::uint64_t revision = 1;
     std::uint64_t oldest = 0;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true); // a timer may end after this object
     net::HttpServer server;
 };
 } // namespace figpulley::tests
