Returning clients wait behind new ones, queues are short, and no route starves behind chains

Orders are sent on fresh connections, also between nodes, since a kept one may be silent. Tests of the load: gate, a route does not starve behind chains; gate, refused callers come back; routing, clients that come back are known.

--- a/src/gate/slotqueue.h
+++ b/src/gate/slotqueue.h
@@ -5,6 +5,7 @@
 #include "core/rank.h"
 #include "core/time.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <unordered_map>
@@ -47,8 +48,12 @@
     core::Duration retryAfter {}; ///< when room is expected, for a refused request
 };
 
-/// Gives out the slots of one endpoint by the priority of the root; within it nested calls come first, since a running request waits
-/// for them, then the order of arrival counts. A request that cannot be answered in time any more is refused at once and never run.
+/// Gives out the slots of one endpoint by the priority of the root. Within it nested calls come first, since a running request waits for
+/// them, then roots that can still be answered within their objective, then late ones: a late answer is worth less, and takes the slot of
+/// one that would be in time. Roots of a priority get a part of what nested calls of the same priority get, so that no route starves
+/// behind chains that end here. A request that would have to wait for long is refused at once and never run.
+///
+/// Refused callers are asked to come back one after the other, at a rate that leaves most of the endpoint to new requests.
 ///
 /// Two limits lie below the slots. A part of the slots stays free, since endpoints slow down when they are nearly full. And when runs
 /// spend much of their objective waiting for calls that they make, a service behind this one is the bottleneck: then only as many roots
@@ -90,6 +95,23 @@
     [[nodiscard]] core::Duration expectedWait(const QueuedRequest &request) const;
 
 private:
+    /// Requests of one kind and priority lately: how many asked and how many of them ran.
+    struct Flow
+    {
+        double asked = 0;
+        double ran = 0;
+        core::TimePoint since {};
+
+        void fade(core::TimePoint now);
+        [[nodiscard]] double share() const noexcept;
+    };
+
+    struct Waiting
+    {
+        QueuedRequest request;
+        core::TimePoint until {}; ///< when it is given up
+    };
+
     struct Key
     {
         std::uint32_t urgency = 0; // smaller is served first
@@ -98,10 +120,19 @@
         [[nodiscard]] auto operator<=>(const Key &) const = default;
     };
 
-    [[nodiscard]] SlotDecision refuse(const QueuedRequest &request, core::ErrorKind kind) const;
+    using Queue = std::map<Key, Waiting>;
+
+    [[nodiscard]] SlotDecision refuse(const QueuedRequest &request, core::ErrorKind kind, core::TimePoint now);
+    [[nodiscard]] core::Duration nextReturn(core::Duration wait, core::TimePoint now);
+    [[nodiscard]] Key keyOf(const QueuedRequest &request, core::TimePoint now);
+    [[nodiscard]] core::TimePoint waitsUntil(const QueuedRequest &request, core::TimePoint now) const;
+    [[nodiscard]] Queue::iterator nextToRun(core::TimePoint now);
+    [[nodiscard]] Flow &flowOf(const QueuedRequest &request, core::TimePoint now);
     [[nodiscard]] int usableSlots() const noexcept;
+    [[nodiscard]] double rootPart(const QueuedRequest &request) const noexcept;
+    [[nodiscard]] bool isLate(const QueuedRequest &request, core::TimePoint now) const noexcept;
     [[nodiscard]] bool canRun(const QueuedRequest &request) const noexcept;
-    void start(const QueuedRequest &request) noexcept;
+    void start(const QueuedRequest &request, core::TimePoint now);
     void learn(const FinishedRun &run, core::TimePoint now);
 
     int slotCount = 1;
@@ -115,7 +146,9 @@
     double meanRootObjectiveSeconds = 0;
     std::uint64_t nextSequence = 0;
     double meanRunSeconds = 0;
-    std::map<Key, QueuedRequest> queue;
+    core::TimePoint latestReturn {}; // that a refused caller was asked to come back at
+    Queue queue;
     std::unordered_map<std::uint64_t, Key> keys;
+    std::array<Flow, 2UL * core::Rank::maximumLevels> flows; // by level: roots, nested calls
 };
 } // namespace figpulley::gate
--- a/src/mesh/outboundface.cpp
+++ b/src/mesh/outboundface.cpp
@@ -104,7 +104,9 @@
             // What cannot be done before the process ends is given up by the gate, as not run.
             this->deadline = std::min(this->deadline, lifecycle.stopRequestedAt + context.settings.grace - stopMargin);
         }
-        this->target = this->arrived + this->route->objective;
+        const bool isTimed = !this->chain.isNested && head.patience.has_value();
+        this->spent = isTimed ? this->face.patience.spent(this->route->name, *head.patience, this->arrived) : core::Duration {};
+        this->target = this->arrived - this->spent + this->route->objective;
         this->exchange->onCancelled([weak = this->weak_from_this()] {
             if (const auto self = weak.lock()) {
                 self->callerLeft();
@@ -178,6 +180,8 @@
         request.timeout = head.remaining + 1s; // the call's own timer ends it sooner
         request.connectTimeout = std::min(peerConnectTimeout, head.remaining);
         request.mayResend = false;
+        // A kept connection may have gone silent without a reset, and nobody could tell whether the request had run.
+        request.isFreshConnection = !head.isIdempotent;
         request.silence = peerSilence;
         for (const auto &header : incoming.headers) {
             if (node::isPassedOn(header.name)) {
@@ -324,6 +328,7 @@
                    {"status", fmt::to_string(status)},
                    {"attempts", fmt::to_string(this->tried.size())},
                    {"last_node", this->node},
+                   {"spent_before_ms", fmt::to_string(core::toMilliseconds(this->spent))},
                    {"after_ms", fmt::to_string(core::toMilliseconds(core::steadyNow() - this->arrived))},
                    {"retry_after_ms", fmt::to_string(core::toMilliseconds(retryAfter))},
                    {"config_version", fmt::to_string(this->table ? this->table->version() : 0)},
@@ -353,6 +358,7 @@
     core::TimePoint arrived;
     core::TimePoint deadline {};
     core::TimePoint target {};
+    core::Duration spent {}; // by the client on earlier attempts
     core::Duration lastRetryAfter = noEndpointRetryAfter;
     ErrorKind lastRefusal = ErrorKind::NoEndpoint;
     net::EventLoop::TimerId timer = net::EventLoop::noTimer;
--- a/src/mesh/outboundface.h
+++ b/src/mesh/outboundface.h
@@ -6,6 +6,7 @@
 #include "net/relayserver.h"
 #include "routing/chaintable.h"
 #include "routing/endpointpicker.h"
+#include "routing/patiencehistory.h"
 #include "routing/retrybudget.h"
 #include "routing/splitpicker.h"
 
@@ -46,6 +47,7 @@
     routing::EndpointPicker picker;
     routing::RetryBudget retryBudget;
     routing::SplitPicker splits;
+    routing::PatienceHistory patience;
     std::unordered_set<Call *> calls;
     core::TimePoint arrivedLast {};
     std::unique_ptr<net::RelayServer> server;
--- a/src/routing/fwd.h
+++ b/src/routing/fwd.h
@@ -6,6 +6,7 @@
 namespace figpulley::routing
 {
 class EndpointPicker;
+class PatienceHistory;
 class RetryBudget;
 class RouteTable;
 class SplitPicker;
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -3,6 +3,7 @@
 /// Umbrella header of the decisions about where a request goes.
 #include "routing/endpointpicker.h"
 #include "routing/fwd.h"
+#include "routing/patiencehistory.h"
 #include "routing/retrybudget.h"
 #include "routing/routeset.h"
 #include "routing/routetable.h"
--- a/tests/gate_test.cpp
+++ b/tests/gate_test.cpp
@@ -2,7 +2,10 @@
 
 #include "gate/gate.h"
 
+#include <algorithm>
 #include <chrono>
+#include <deque>
+#include <map>
 
 using namespace figpulley;
 using namespace std::chrono_literals;
@@ -143,3 +146,83 @@
         story.equal(queue.rootLimit(), 90, "all slots but the free part are used again");
     });
 }
+
+// A surge of chains that end here meets a route of the same priority whose requests are roots here.
+Test(gate, a_route_does_not_starve_behind_chains)
+{
+    tests::Story story;
+    gate::SlotQueue queue;
+    queue.setSlots(10);
+    auto now = after(0s);
+    int rootsAsked = 0;
+    int rootsRun = 0;
+    int nestedRun = 0;
+    std::map<std::uint64_t, bool> kinds; // whether a request is nested
+    std::deque<bool> running; // whether a run is nested, oldest first
+    std::uint64_t next = 1;
+    const auto note = [&](const std::vector<SlotDecision> &decisions) {
+        for (const auto &decision : decisions) {
+            if (decision.kind == SlotDecision::Kind::Run) {
+                const bool isNested = kinds[core::value(decision.entry)];
+                ++(isNested ? nestedRun : rootsRun);
+                running.push_back(isNested);
+            }
+        }
+    };
+    const auto finishOldest = [&] {
+        const bool isNested = running.front();
+        running.pop_front();
+        note(queue.finish({isNested, 45ms, {}, 1s}, now));
+    };
+    for (int step = 0; step < 4000; ++step) {
+        now += 10ms;
+        // Two nested calls and one root come where two can run.
+        for (int at = 0; at < 3; ++at) {
+            const bool isNested = at < 2;
+            rootsAsked += isNested ? 0 : 1;
+            kinds[next] = isNested;
+            note({queue.offer(requestOf(next++, 2, now, isNested), now)});
+        }
+        finishOldest();
+        finishOldest();
+    }
+    story.check(rootsRun * 4 > rootsAsked, "a quarter of the roots run at least");
+    story.check(nestedRun > rootsRun, "and more of the calls that running requests wait for");
+}
+
+Test(gate, refused_callers_come_back)
+{
+    tests::Story story;
+    gate::SlotQueue queue;
+    queue.setSlots(1);
+    auto now = after(0s);
+    for (std::uint64_t id = 1; id < 200; ++id) {
+        now += 50ms;
+        static_cast<void>(queue.offer(requestOf(id, 2, now), now));
+        static_cast<void>(queue.finish({false, 50ms, {}, 1s}, now + 50ms));
+    }
+    // The slot is taken, and many come at once.
+    std::vector<core::Duration> waits;
+    for (std::uint64_t id = 1000; id < 1060; ++id) {
+        const auto decision = queue.offer(requestOf(id, 2, now), now);
+        if (decision.kind == SlotDecision::Kind::Refuse) {
+            waits.push_back(decision.retryAfter);
+        }
+    }
+    story.check(waits.size() > 20, "most are refused");
+    story.section("those that are refused together", [&] {
+        story.check(std::is_sorted(waits.begin(), waits.end()), "come back in the order in which they were refused");
+        story.check(waits.at(10) - waits.at(0) >= 500ms, "no faster than the endpoint can serve them beside new ones");
+        story.check(waits.back() <= 2s, "and nobody is told to wait for longer than clients do");
+    });
+    story.section("one that comes back too late for its objective", [&] {
+        auto late = requestOf(2000, 2, now);
+        late.target = now - 1s;
+        static_cast<void>(queue.clear(ErrorKind::NotServing));
+        story.equal(queue.offer(late, now).kind, SlotDecision::Kind::Wait, "waits");
+        story.equal(queue.offer(requestOf(2001, 2, now), now).kind, SlotDecision::Kind::Wait, "with one that is in time");
+        const auto next = queue.finish({false, 50ms, {}, 1s}, now);
+        story.equal(core::value(next.at(0).entry), 2001U, "which goes first");
+        story.equal(core::value(queue.finish({false, 50ms, {}, 1s}, now).at(0).entry), 2000U, "and is served after it");
+    });
+}
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -227,3 +227,17 @@
         story.check(call.rank == routing::rootRank(1, "r0.c1"), "with the rank of its own route");
     });
 }
+
+Test(routing, clients_that_come_back_are_known)
+{
+    tests::Story story;
+    routing::PatienceHistory history;
+    story.equal(history.spent("look", 6s, after(0s)), core::Duration {}, "a first attempt has spent nothing");
+    story.equal(history.spent("look", 5980ms, after(1s)), core::Duration {}, "nor one whose way took a little longer");
+    story.equal(history.spent("look", 4500ms, after(2s)), core::Duration(1500ms), "one that has less patience left has spent the rest");
+    story.equal(history.spent("brief", 1s, after(2s)), core::Duration {}, "each route has its own");
+    story.section("the clients' patience has become shorter", [&] {
+        static_cast<void>(history.spent("look", 3s, after(15s)));
+        story.equal(history.spent("look", 3s, after(30s)), core::Duration {}, "the longer one is forgotten after a while");
+    });
+}
