Limits of the configuration hold for clients, and bodies of all requests together are bounded

Change: ConfigKeeper tells of each configuration in force and the entrance takes its limits over, for open connections too; a body beyond 48 MB of all bodies is refused as not run. Tests (failed before): mesh, limits of the configuration hold for clients (kept connections still had the old limits); net, bodies of all requests are bounded.

--- a/src/mesh/keepers.cpp
+++ b/src/mesh/keepers.cpp
@@ -28,9 +28,10 @@
     return node;
 }
 
-ConfigKeeper::ConfigKeeper(MeshBoard &board, const WireFormat &wire)
+ConfigKeeper::ConfigKeeper(MeshBoard &board, const WireFormat &wire, std::function<void(const routing::RouteSet &)> onInForce)
     : board(board)
     , wire(wire)
+    , onInForce(std::move(onInForce))
 {
 }
 
@@ -61,6 +62,7 @@
                {"earlier", fmt::to_string(known)},
                {"origin", std::string(origin)},
                {"routes", fmt::to_string(config.table->routes().routes.size())}});
+    this->onInForce(config.table->routes());
     return true;
 }
 
--- a/src/mesh/keepers.h
+++ b/src/mesh/keepers.h
@@ -4,6 +4,7 @@
 #include "mesh/wireformat.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <unordered_set>
@@ -14,7 +15,8 @@
 class ConfigKeeper
 {
 public:
-    ConfigKeeper(MeshBoard &board, const WireFormat &wire);
+    /// @param onInForce called with each configuration when it is put in force
+    ConfigKeeper(MeshBoard &board, const WireFormat &wire, std::function<void(const routing::RouteSet &)> onInForce);
 
     /// A configuration was read from the store or told by a peer.
     /// @param origin where it comes from, for the log
@@ -26,6 +28,7 @@
 private:
     MeshBoard &board;
     const WireFormat &wire;
+    std::function<void(const routing::RouteSet &)> onInForce;
 };
 
 /// Keeps the directory of endpoints.
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -46,7 +46,7 @@
     , sampler(sampledLinesPerSecond, sampledLinesAtOnce)
     , relay(loop)
     , context {loop, client, this->relay, this->settings, wire, store, this->blackboard, this->random, this->metrics, this->sampler}
-    , config(this->blackboard, wire)
+    , config(this->blackboard, wire, [this](const routing::RouteSet &routes) { this->outbound->setClientLimits(routes.limits); })
     , directory(this->blackboard)
     , snapshots(this->context, this->config, this->directory)
     , changes(this->context)
--- a/src/mesh/outboundface.cpp
+++ b/src/mesh/outboundface.cpp
@@ -387,6 +387,16 @@
 
 OutboundFace::~OutboundFace() = default;
 
+void OutboundFace::setClientLimits(const routing::ClientLimits &limits)
+{
+    net::RelayServerLimits changed;
+    changed.headerBytes = limits.headerBytes;
+    changed.bodyBytes = limits.bodyBytes;
+    changed.headerTimeout = limits.headerTimeout;
+    changed.idleTimeout = limits.idleTimeout;
+    this->server->setLimits(changed);
+}
+
 void OutboundFace::setRetryBudget(const routing::RetryBudgetRules &rules)
 {
     this->retryBudget.setRules(rules);
--- a/src/mesh/outboundface.h
+++ b/src/mesh/outboundface.h
@@ -26,6 +26,9 @@
     OutboundFace(const OutboundFace &) = delete;
     OutboundFace &operator=(const OutboundFace &) = delete;
 
+    /// What clients may send from now on, on open connections too.
+    void setClientLimits(const routing::ClientLimits &limits);
+
     void setRetryBudget(const routing::RetryBudgetRules &rules);
 
     /// Answers all requests that are still open, since the process ends: as not run where that is certain.
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -32,6 +32,7 @@
 constexpr int acceptsPerTurn = 64;
 constexpr int httpBadRequest = 400;
 constexpr int httpNoContent = 204;
+constexpr int httpServiceUnavailable = 503;
 constexpr int httpNotModified = 304;
 constexpr int httpContentTooLarge = 413;
 constexpr int httpHeaderTooLarge = 431;
@@ -83,6 +84,7 @@
     int listener;
     std::unordered_map<int, std::shared_ptr<Connection>> connections;
     EventLoop::TimerId sweepTimer = EventLoop::noTimer;
+    std::size_t heldBytes = 0; // of all bodies
     bool isClosed = false;
 };
 
@@ -119,6 +121,8 @@
     void end();
     void peerLeft();
     void resetParser();
+    [[nodiscard]] bool holdBody();
+    void releaseBody();
     [[nodiscard]] bool isExpired(core::TimePoint now) const;
 
     Implementation &server;
@@ -132,6 +136,7 @@
     std::shared_ptr<Exchange> exchange;
     std::shared_ptr<BodyPipe> pipe;
     core::TimePoint since; // of the last progress
+    std::size_t heldBytes = 0; // of the body of the request
     bool isChunked = false;
     bool isStreamWhole = false; // the last byte of a stream is in the output
     bool isKept = true; // after the answer
@@ -207,8 +212,6 @@
 void RelayServer::Connection::resetParser()
 {
     this->parser = std::make_unique<MessageParser<true>>();
-    this->parser->header_limit(static_cast<std::uint32_t>(this->server.limits.headerBytes));
-    this->parser->body_limit(this->server.limits.bodyBytes);
     this->parser->eager(true);
     this->isContinueSent = false;
 }
@@ -265,6 +268,11 @@
 {
     this->since = core::steadyNow();
     this->input.append(bytes);
+    if (!this->parser->got_some()) {
+        // The limits may have changed since the request before this one.
+        this->parser->header_limit(static_cast<std::uint32_t>(this->server.limits.headerBytes));
+        this->parser->body_limit(this->server.limits.bodyBytes);
+    }
     while (this->state == State::Reading && !this->isEnded && !this->input.empty()) {
         boost::beast::error_code error;
         const auto used = this->parser->put(boost::asio::const_buffer(this->input.data(), this->input.size()), error);
@@ -281,6 +289,10 @@
             this->refuse(isTooLong ? httpHeaderTooLarge : isTooLarge ? httpContentTooLarge : httpBadRequest);
             return;
         }
+        if (!this->holdBody()) {
+            this->refuse(httpServiceUnavailable);
+            return;
+        }
         if (this->parser->is_done()) {
             this->handOver();
             return;
@@ -319,10 +331,24 @@
     this->server.handler(std::move(handed));
 }
 
+// Counts what has arrived of the body; false when all bodies together are too large. The request was not handed over, so it has not run.
+bool RelayServer::Connection::holdBody()
+{
+    const auto size = this->parser->body.size();
+    this->server.heldBytes += size - this->heldBytes;
+    this->heldBytes = size;
+    return this->server.heldBytes <= this->server.limits.heldBytes || size == 0;
+}
+
+void RelayServer::Connection::releaseBody()
+{
+    this->server.heldBytes -= std::exchange(this->heldBytes, 0);
+}
+
 void RelayServer::Connection::refuse(int status)
 {
     this->isKept = false;
-    this->answerHeld(status, {}, {});
+    this->answerHeld(status, status == httpServiceUnavailable ? Headers {{"Retry-After", "1"}} : Headers {}, {});
 }
 
 void RelayServer::Connection::answerHeld(int status, const Headers &headers, std::string_view body)
@@ -426,6 +452,7 @@
 {
     this->exchange.reset();
     this->pipe.reset();
+    this->releaseBody();
     this->isStreamWhole = false;
     if (!this->isKept) {
         shutdown(this->descriptor, SHUT_WR);
@@ -470,6 +497,7 @@
         return;
     }
     this->isEnded = true;
+    this->releaseBody();
     this->exchange.reset();
     if (this->pipe) {
         this->pipe->onReadable = nullptr;
--- a/src/net/relayserver.h
+++ b/src/net/relayserver.h
@@ -16,6 +16,7 @@
     std::size_t bodyBytes = 64UL << 20U;
     core::Duration headerTimeout = std::chrono::seconds(10); ///< for a request to arrive in whole, unless its body goes on arriving
     core::Duration idleTimeout = std::chrono::seconds(75); ///< of a connection between two requests
+    std::size_t heldBytes = 48UL << 20U; ///< of the bodies of all requests together, until they are answered
 };
 
 /// Serves HTTP for requests that are passed on: few calls to the kernel per request, and a caller that leaves is noticed at once.
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -194,6 +194,26 @@
     });
 }
 
+Test(mesh, limits_of_the_configuration_hold_for_clients)
+{
+    tests::Story story;
+    tests::MeshBed bed;
+    bed.publish();
+    bed.add("m1", "motivi");
+    bed.heartbeat("m1", 1);
+    bed.waitReady("m1", 1);
+    story.equal(bed.request("m1", "/look/1").head.status, 200, "a request within them is served");
+    std::string smaller = tests::MeshBed::routes;
+    const auto change = [&](const std::string &from, const std::string &to) { smaller.replace(smaller.find(from), from.size(), to); };
+    change("\"Version\":1", "\"Version\":2");
+    change("\"MaxHeaderBytes\":16384", "\"MaxHeaderBytes\":300");
+    change("\"MaxBodyBytes\":1000000", "\"MaxBodyBytes\":3");
+    bed.publish(smaller);
+    bed.waitVersion("m1", 2);
+    story.equal(bed.request("m1", "/order/1", "POST").head.status, 413, "a larger body is refused once a change is in force");
+    story.equal(bed.request("m1", "/look/" + std::string(400, 'x')).head.status, 431, "a longer head as well");
+}
+
 Test(mesh, one_node_of_a_zone_watches_the_store)
 {
     tests::Story story;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -8,6 +8,8 @@
 
 #include "net/httpserver.h"
 
+#include <thread>
+
 using namespace figpulley;
 using core::ErrorKind;
 
@@ -156,3 +158,49 @@
         return true;
     });
 }
+
+Test(net, bodies_of_all_requests_are_bounded)
+{
+    tests::Story story;
+    net::LoopThread thread;
+    std::vector<std::shared_ptr<net::HttpExchange>> open;
+    std::unique_ptr<net::RelayServer> server;
+    thread.call([&] {
+        net::RelayServerLimits limits;
+        limits.heldBytes = 1000;
+        server = std::make_unique<net::RelayServer>(
+            thread.loop(), net::Address {"127.0.0.1", 0},
+            [&](std::shared_ptr<net::HttpExchange> exchange) {
+                if (exchange->request().path == "/hold") {
+                    open.push_back(std::move(exchange));
+                } else {
+                    exchange->answer({200, {}, "ok"});
+                }
+            },
+            limits);
+    });
+    const auto address = thread.call([&] { return server->address(); });
+    const auto send = [&](const std::string &path, std::size_t size) {
+        tests::HttpCaller caller;
+        net::ClientRequest request;
+        request.method = "POST";
+        request.url = "http://" + address.toString() + path;
+        request.body = std::string(size, 'x');
+        request.timeout = std::chrono::seconds(5);
+        return caller.call(request).head.status;
+    };
+    std::thread holder([&] { static_cast<void>(send("/hold", 800)); });
+    while (thread.call([&] { return open.empty(); })) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    story.equal(send("/", 100), 200, "a small body has room beside a large one");
+    story.equal(send("/", 500), 503, "a body that has none is refused as not run");
+    story.equal(send("/", 0), 200, "a request without a body is not concerned");
+    thread.call([&] {
+        open.front()->answer({200, {}, "ok"});
+        open.clear();
+    });
+    holder.join();
+    story.equal(send("/", 500), 200, "the answer has made room");
+    thread.call([&] { server.reset(); });
+}
