A request whose caller has left is never begun

Ruled out: the sender's cancellation, which closes its connection at the deadline. Change: a request that is read after its connection hung up is dropped. The test net, a caller that leaves, asked that such a request is cancelled; it now asks that it is never begun (failed before), which is stricter.

--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -142,6 +142,7 @@
     bool isKept = true; // after the answer
     bool hasMoreInput = false; // the socket was readable while nothing was read
     bool isContinueSent = false;
+    bool isPeerGone = false; // the peer has closed its end
     bool isEnded = false;
 };
 
@@ -225,13 +226,11 @@
     if (this->isEnded) {
         return;
     }
+    // The loop tells of a closed end once: a caller may have sent its request and left before it was read.
+    this->isPeerGone = this->isPeerGone || readiness.isHungUp;
     if (readiness.isReadable || readiness.isHungUp) {
         if (this->state == State::Reading || this->state == State::Lingering) {
             this->readMore();
-            // The loop tells of a closed end once: a caller may have sent its request and left before it was read.
-            if (readiness.isHungUp && !this->isEnded && this->state == State::Handling) {
-                this->peerLeft();
-            }
         } else if (readiness.isHungUp) {
             this->peerLeft();
         } else {
@@ -311,6 +310,11 @@
 
 void RelayServer::Connection::handOver()
 {
+    if (this->isPeerGone) {
+        // Nobody waits for the answer any more; begun and cancelled at once, the request would still have reached its endpoint.
+        this->end();
+        return;
+    }
     if (hasAmbiguousLength(this->parser->headers)) {
         this->refuse(httpBadRequest);
         return;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -150,7 +150,9 @@
             sendAndLeave(true);
             return true;
         });
-        story.equal(waitForCancelled(2), 2, "is noticed as well");
+        sendAndLeave(false);
+        story.equal(waitForCancelled(2), 2, "another one leaves later");
+        story.equal(handled.load(), 2, "and the request of the first was never begun");
     });
     thread.call([&] {
         held.clear();
