Roots of a priority get a fifth of the share of nested calls; nobody waits at two nodes

A request that has waited in vain is refused at once instead of waiting at the next node; waits are a fifth of the objective.

--- a/src/gate/slotqueue.cpp
+++ b/src/gate/slotqueue.cpp
@@ -21,10 +21,11 @@
 constexpr double rateWeight = 0.4; // of the newest interval in the moving average
 constexpr int smallestRootLimit = 4; // some roots always run, so that it is seen when the bottleneck is gone
 constexpr double growth = 1.15; // room above what the bottleneck lets through, so that the limit can rise
-constexpr double waitShare = 0.3; // of the time until the objective that a root may wait here; the rest is for its run and its calls
+constexpr double waitShare = 0.2; // of the time until the objective that a root may wait here; the rest is for its run and its calls
 constexpr double lateWaitShare = 0.25; // of the time until the deadline that a late root may wait
 constexpr double waitRuns = 1.5; // mean runs that a root may wait at least, so that few slots do not refuse what they can do in time
-constexpr double rootFloor = 0.5; // share of roots that run, as a part of the share of nested calls of the same priority
+constexpr double rootFloor = 0.2; // share of roots that run, as a part of the share of nested calls of the same priority: a guard
+                                  // against starvation, since each root that runs instead of a nested call may cost a whole chain
 constexpr double returnShare = 0.25; // of the finished roots' rate at which refused callers come back
 constexpr Duration flowHalfLife = 2s; // long against single runs, short against a surge of users
 constexpr Duration assumedRun = 50ms; // before the first run has ended
--- a/src/mesh/outboundface.cpp
+++ b/src/mesh/outboundface.cpp
@@ -267,7 +267,8 @@
         const auto next = ran != Ran::No         ? this->plan.lost()
             : kind == ErrorKind::UpstreamRefused ? this->plan.refusedByEndpoint()
                                                  : this->plan.refusedOnTheWay();
-        const bool hasTime = this->deadline - now > shortestUsefulTime;
+        // One that has waited at a node in vain would wait at the next one as well; its client is told at once.
+        const bool hasTime = kind != ErrorKind::QueueTimeout && this->deadline - now > shortestUsefulTime;
         const bool isPaid = next != AttemptPlan::Next::Paid
             || this->face.retryBudget.take(this->service, this->chain.rank, this->face.context.board.directory.read().size(), now);
         if (next == AttemptPlan::Next::GiveUp || !hasTime || !isPaid) {
