figpulley explain: one request's lines over all nodes' logs, and the cause of its failure

Cause: on-call engineers had to collect a request's lines by grep and know the kinds by heart. Tests: explain, a line is read (any text), three failed requests.

--- a/scripts/run-examples.sh
+++ b/scripts/run-examples.sh
@@ -10,6 +10,7 @@
     [ -e "$file" ] || continue
     "$binary" test-alerts "$file"
 done
+"$binary" explain --id b03c86c4b6355e0e examples/logs/*.log | grep -q 'cause: .*it may have run.*the connection was reset'
 broken=$(mktemp -d)
 trap 'rm -rf "$broken"' EXIT
 sed 's/"queue_ms"/"queue_sm"/' examples/kovacic/policy.jsonc >"$broken/policy.jsonc"
--- a/src/cli/commandline.cpp
+++ b/src/cli/commandline.cpp
@@ -19,6 +19,7 @@
     Command {"apply", "--platform IP:PORT FILE...", "put a set of files in force as a whole", &runApply},
     Command {"status", "--node IP:PORT...", "show what is in force and how the services are", &runStatus},
     Command {"history", "--platform IP:PORT", "show the audit trail of changes", &runHistory},
+    Command {"explain", "--id ID FILE...", "show what the nodes' logs tell about one request, and why it failed", &runExplain},
     Command {"test-alerts", "FILE...", "run unit tests of alert rules", &runTestAlerts},
     Command {"capacity", "", "measure what a node's control costs, for docs/CAPACITY.md", &runCapacity},
     Command {"bench", "--deployment NAME --scenario NAME", "run an experiment on real nodes and stand-ins", &runBench},
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -11,6 +11,7 @@
 int runApply(const std::vector<std::string> &arguments);
 int runStatus(const std::vector<std::string> &arguments);
 int runHistory(const std::vector<std::string> &arguments);
+int runExplain(const std::vector<std::string> &arguments);
 int runTestAlerts(const std::vector<std::string> &arguments);
 int runCapacity(const std::vector<std::string> &arguments);
 int runBench(const std::vector<std::string> &arguments);
