Settings with two listeners at one address are refused, and an address in use is told

Ruled out: the node's recovery; it never ran. Change: each listener's address is checked against the others, with line and column; what cannot be bound is said on standard error; tests choose addresses that differ. Test: mesh, settings are checked (failed before).

--- a/src/cli/runmesh.cpp
+++ b/src/cli/runmesh.cpp
@@ -139,6 +139,10 @@
             BOOST_LEAF_AUTO(settings, loadSettings(path));
             return serve(path, settings);
         },
+        [](leaf::catch_<std::exception> error) {
+            fmt::print(stderr, "figpulley mesh: {}\n", error.matched.what());
+            return exitFailed;
+        },
         [](const core::ErrorDetail &detail) {
             fmt::print(stderr, "figpulley mesh: {}\n", detail.text);
             return exitFailed;
--- a/src/mesh/meshsettings.cpp
+++ b/src/mesh/meshsettings.cpp
@@ -45,6 +45,20 @@
     return parsed.value_or(net::Address {});
 }
 
+// One process serves all of these; each needs an address of its own.
+void checkDistinct(const text::ObjectReader &reader)
+{
+    constexpr std::array<std::string_view, 6> served {"entrance", "ingress", "control", "readiness", "metrics", "upstream"};
+    for (std::size_t at = 1; at < served.size(); ++at) {
+        for (std::size_t earlier = 0; earlier < at; ++earlier) {
+            const auto text = reader.string(served[at]);
+            if (!text.empty() && text == reader.string(served[earlier])) {
+                reader.report(served[at], fmt::format("\"{}\" must not have the address of \"{}\"", served[at], served[earlier]));
+            }
+        }
+    }
+}
+
 core::Duration seconds(const text::ObjectReader &reader, std::string_view key)
 {
     return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(reader.number(key)));
@@ -74,6 +88,7 @@
     settings.metrics = address(reader, "metrics");
     settings.upstream = address(reader, "upstream");
     settings.store = address(reader, "store");
+    checkDistinct(reader);
     settings.heartbeatInterval = seconds(reader, "heartbeat_interval_s");
     settings.grace = seconds(reader, "grace_s");
     settings.retryBudget = {reader.number("retry_ratio"), reader.number("retry_slack"), seconds(reader, "retry_window_s")};
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -356,4 +356,11 @@
         broken.replace(broken.find("127.0.0.1:7001"), 14, "localhost:7001");
         story.check(!mesh::readMeshSettings("mesh.jsonc", broken, problems), "is refused");
     });
+    story.section("two listeners at one address", [&] {
+        text::Problems problems;
+        auto broken = example;
+        broken.replace(broken.find("127.0.0.1:7002"), 14, "127.0.0.1:7001");
+        story.check(!mesh::readMeshSettings("mesh.jsonc", broken, problems), "are refused before one of them cannot be bound");
+        story.check(text::describe(problems.front()).find("must not have the address of") != std::string::npos, "with the reason");
+    });
 }
--- a/tests/support/meshbed.h
+++ b/tests/support/meshbed.h
@@ -11,6 +11,7 @@
 #include <future>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -38,6 +39,17 @@
     return {ip, ntohs(where.sin_port)};
 }
 
+/// Gives each of several listeners a free address of its own: a port that was free a moment ago may be given out again.
+inline void chooseAddresses(const std::string &ip, std::initializer_list<net::Address *> listeners)
+{
+    std::set<std::uint16_t> ports;
+    for (auto *address : listeners) {
+        do {
+            *address = freeAddress(ip);
+        } while (!ports.insert(address->port).second);
+    }
+}
+
 /// Mesh nodes with endpoints of their own and the platform's store, on one thread and real sockets.
 class MeshBed
 {
@@ -112,11 +124,7 @@
             settings.name = name;
             settings.availabilityZone = "mineo";
             settings.service = service;
-            settings.entrance = freeAddress(ip);
-            settings.ingress = freeAddress(ip);
-            settings.control = freeAddress(ip);
-            settings.readiness = freeAddress(ip);
-            settings.metrics = freeAddress(ip);
+            chooseAddresses(ip, {&settings.entrance, &settings.ingress, &settings.control, &settings.readiness, &settings.metrics});
             settings.upstream = vm.endpoint->address();
             settings.store = this->store->address();
             settings.heartbeatInterval = std::chrono::seconds(2);
