--- a/src/gate/slotqueue.cpp
+++ b/src/gate/slotqueue.cpp
@@ -97,7 +97,7 @@
 SlotQueue::Flow &SlotQueue::flowOf(const QueuedRequest &request, TimePoint now)
 {
     const auto level = std::min(request.rank.level(), core::Rank::maximumLevels - 1);
-    auto &flow = this->flows[2 * level + (request.isNested ? 1 : 0)];
+    auto &flow = this->flows[2UL * level + (request.isNested ? 1 : 0)];
     flow.fade(now);
     return flow;
 }
@@ -186,8 +186,8 @@
 double SlotQueue::rootPart(const QueuedRequest &request) const noexcept
 {
     const auto level = std::min(request.rank.level(), core::Rank::maximumLevels - 1);
-    const auto roots = this->flows[2 * level].asked;
-    const auto nested = this->flows[2 * level + 1].asked;
+    const auto roots = this->flows[2UL * level].asked;
+    const auto nested = this->flows[2UL * level + 1].asked;
     return roots > 0 ? rootFloor * roots / (roots + nested) : 0;
 }
 
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -81,7 +81,8 @@
     return std::chrono::duration_cast<core::Duration>(wait * (1 - watchJitter * core::uniform(this->random)));
 }
 
-std::shared_ptr<CollectionFollower> MeshNode::follow(const std::string &collection, CollectionListener listener, core::Duration pause)
+std::shared_ptr<CollectionFollower> MeshNode::follow(const std::string &collection, const CollectionListener &listener,
+                                                     core::Duration pause)
 {
     auto &log = this->changes.log(collection);
     CollectionListener logged;
@@ -114,7 +115,7 @@
         }
     };
     routes.onListed = [](const std::unordered_set<std::string> &, std::uint64_t) {};
-    this->routesFollower = this->follow(this->wire.routesCollection(), std::move(routes), core::Duration {});
+    this->routesFollower = this->follow(this->wire.routesCollection(), routes, core::Duration {});
 
     CollectionListener endpoints;
     endpoints.onItem = [this](const store::CollectionItem &item) {
@@ -127,7 +128,7 @@
     endpoints.onListed = [this](const std::unordered_set<std::string> &names, std::uint64_t revision) {
         this->directory.retain(names, revision);
     };
-    this->endpointsFollower = this->follow(LocalRecorder::collection, std::move(endpoints), endpointsPause);
+    this->endpointsFollower = this->follow(LocalRecorder::collection, endpoints, endpointsPause);
     this->recorder->start();
     this->reportLoad();
     core::log(core::LogLevel::Info, "node.started",
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -47,7 +47,7 @@
     void checkStop();
     void reportLoad();
     [[nodiscard]] std::size_t inFlight() const noexcept;
-    [[nodiscard]] std::shared_ptr<CollectionFollower> follow(const std::string &collection, CollectionListener listener,
+    [[nodiscard]] std::shared_ptr<CollectionFollower> follow(const std::string &collection, const CollectionListener &listener,
                                                              core::Duration pause);
     [[nodiscard]] core::Duration watchWait();
 
