--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,11 @@
 SEED ?= 20261204
 BUILD := build
 
-.PHONY: install build demo check bench capacity examples format format-check lint sanitize clean
+SOAK_SEED ?= 1
+SOAK_SEEDS ?= 1
+SOAK_SECONDS ?= 6
+
+.PHONY: soak install build demo check bench capacity examples format format-check lint sanitize clean
 
 install:
 	scripts/install-packages.sh
@@ -18,6 +22,10 @@
 	@echo "RapidCheck seed: $(SEED)"
 	RC_PARAMS="seed=$(SEED)" $(BUILD)/figpulley-tests --jobs 2
 
+# Real processes under faults from outside; a run takes its seconds and about 45 more.
+soak: build
+	$(BUILD)/figpulley-soak --binary $(BUILD)/figpulley --seed $(SOAK_SEED) --seeds $(SOAK_SEEDS) --seconds $(SOAK_SECONDS)
+
 examples: build
 	scripts/run-examples.sh $(BUILD)/figpulley
 
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -25,6 +25,8 @@
 constexpr core::Duration drainBound = 2500ms; // the users' bound for new work at an endpoint that leaves
 constexpr double goodAfterwards = 0.95; // share of requests that are served once all faults are gone
 constexpr int graceS = 6;
+constexpr int answersPerLoss = 300; // requests for each reset of all connections to their endpoint: one or two a second
+constexpr std::uint64_t addressesPerOctet = 250;
 
 const std::string stamp = "soak";
 
@@ -86,7 +88,9 @@
     auto vm = std::make_unique<Vm>();
     vm->name = fmt::format("vm-{}", number);
     vm->service = number % 5 < 3 ? "motivi" : "commesse";
-    vm->ip = fmt::format("127.0.1.{}", number + 1);
+    // Addresses of its own, so that runs beside each other do not meet.
+    vm->ip = fmt::format("127.{}.{}.{}", 1 + this->options.seed / addressesPerOctet % addressesPerOctet,
+                         this->options.seed % addressesPerOctet, number + 1);
     this->thread.call([&] {
         auto &loop = this->thread.loop();
         auto *self = vm.get();
@@ -96,9 +100,7 @@
         vm->endpointLink = std::make_unique<FaultProxy>(loop, net::Address {vm->ip, 0}, vm->endpoint->address());
         vm->storeLink = std::make_unique<FaultProxy>(loop, net::Address {vm->ip, 0}, this->store->address());
     });
-    for (auto *address : {&vm->entrance, &vm->ingress, &vm->control, &vm->readiness, &vm->metrics}) {
-        *address = tests::freeAddress(vm->ip);
-    }
+    tests::chooseAddresses(vm->ip, {&vm->entrance, &vm->ingress, &vm->control, &vm->readiness, &vm->metrics});
     std::ofstream settings(fmt::format("{}/{}.jsonc", this->options.folder, vm->name));
     settings << fmt::format(
         R"({{"name":"{}","availability_zone":"{}","service":"{}","entrance":"{}","ingress":"{}","control":"{}","readiness":"{}","metrics":"{}",)"
@@ -197,6 +199,12 @@
     if (vm.leftAt != core::TimePoint {} && core::steadyNow() - vm.leftAt > drainBound) {
         this->ledger.report(fmt::format("{} reached {} after its departure was acknowledged", id, vm.name));
     }
+    if (!this->isCalm && this->betweenOnLoop(0, answersPerLoss) == 0) {
+        this->thread.loop().post([&vm] {
+            vm.endpointLink->setFault(LinkFault::Reset);
+            vm.endpointLink->setFault(LinkFault::None);
+        });
+    }
     const auto work =
         std::chrono::milliseconds(this->betweenOnLoop(1, 100) < 4 ? this->betweenOnLoop(200, 800) : this->betweenOnLoop(2, 40));
     this->thread.loop().after(work, [exchange, id, headers = std::move(headers)] { exchange->answer({200, headers, bodyOf(id)}); });
