--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -22,6 +22,7 @@
     std::uint64_t seed = 1;
     int vms = 5;
     int seconds = 12; ///< of unplanned faults
+    bool isTimed = true; ///< whether promises with a time bound are checked; a machine under load cannot keep them
 };
 
 /// One seeded run: real nodes as processes, with endpoints, clients and the platform's store in this process, and faults that come
@@ -74,6 +75,7 @@
     void oneFault();
     void recover();
     void checkMemory();
+    void reportTimed(const std::string &text);
     Vm &anyVm();
     void note(const std::string &what);
     void sleepMs(int milliseconds) const;
