Decode and log the limit and the departure that endpoints state in their answers

Change: the platform adapter decodes Server-Limit and Server-Leaving; the node of the endpoint logs a changed limit (endpoint.limit) and, in node.load, the requests that it sent by kind and origin; a gauge, a counter and a histogram have the same. No decision depends on them yet.

--- a/src/mesh/inboundproxy.cpp
+++ b/src/mesh/inboundproxy.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -127,6 +128,8 @@
         auto &context = this->proxy.context;
         const auto &incoming = this->exchange->request();
         this->started = core::steadyNow();
+        const auto kind = this->proxy.dispatchCounts.add(this->head.originNode, this->head.isNested, this->head.isRepeat);
+        context.metrics.countDispatch(this->head.service, kind, this->started - this->arrived);
         this->proxy.chainTable.addRun(this->requestId, {this->head.rank, this->head.isRepeat, this->head.isNested});
         net::ClientRequest request;
         request.method = incoming.method;
@@ -165,6 +168,7 @@
             core::log(core::LogLevel::Warning, "answer.foreign", {{"id", this->requestId}, {"answers", reply.requestId}});
             return false;
         }
+        this->proxy.applyStatements(reply, this->head, this->requestId);
         return true;
     }
 
@@ -326,6 +330,35 @@
     return this->queue.meanRunTime();
 }
 
+std::optional<double> InboundProxy::rateLimit() const noexcept
+{
+    return this->statedRateLimit;
+}
+
+DispatchCounts InboundProxy::takeDispatchCounts()
+{
+    return std::exchange(this->dispatchCounts, {});
+}
+
+// Records what the endpoint states about itself in a response to the request.
+void InboundProxy::applyStatements(const UpstreamReply &reply, const AttemptHead &head, const std::string &requestId)
+{
+    if (reply.requestId != requestId) {
+        return;
+    }
+    if (reply.isRateLimitInvalid) {
+        if (const auto omittedLines = this->context.sampler.tryAcquire("limit.invalid", core::steadyNow())) {
+            core::log(core::LogLevel::Warning, "endpoint.limit_invalid",
+                      {{"endpoint", head.endpointId}, {"id", requestId}, {"left_out", fmt::to_string(*omittedLines)}});
+        }
+    } else if (reply.rateLimit != this->statedRateLimit) {
+        this->statedRateLimit = reply.rateLimit;
+        core::log(
+            core::LogLevel::Info, "endpoint.limit",
+            {{"endpoint", head.endpointId}, {"per_second", formatRate(reply.rateLimit)}, {"id", requestId}, {"origin", head.originNode}});
+    }
+}
+
 ErrorKind InboundProxy::validate(const AttemptHead &head) const
 {
     if (this->context.board.lifecycle.read().isStopping) {
--- a/src/mesh/inboundproxy.h
+++ b/src/mesh/inboundproxy.h
@@ -3,8 +3,10 @@
 #include "gate/slotqueue.h"
 #include "mesh/attempthead.h"
 #include "mesh/changerelay.h"
+#include "mesh/dispatchcounts.h"
 #include "mesh/meshcontext.h"
 #include "mesh/snapshotexchange.h"
+#include "mesh/wireformat.h"
 #include "net/relayserver.h"
 #include "routing/chaintable.h"
 
@@ -36,6 +38,12 @@
     /// Returns the moving average of the endpoint's processing time.
     [[nodiscard]] core::Duration meanRunTime() const noexcept;
 
+    /// Returns the rate that the endpoint states as its limit, in requests per second; nothing while it states none.
+    [[nodiscard]] std::optional<double> rateLimit() const noexcept;
+
+    /// Returns the requests that were sent to the endpoint since the last call.
+    [[nodiscard]] DispatchCounts takeDispatchCounts();
+
     /// Returns the number of attempts that are running or queued.
     [[nodiscard]] std::size_t inFlight() const noexcept;
 
@@ -46,12 +54,15 @@
     [[nodiscard]] core::ErrorKind validate(const AttemptHead &head) const;
     void applyDecisions(const std::vector<gate::SlotDecision> &decisions);
     void scheduleExpiry();
+    void applyStatements(const UpstreamReply &reply, const AttemptHead &head, const std::string &requestId);
     MeshContext context;
     SnapshotExchange &snapshots;
     ChangeRelay &changes;
     gate::SlotQueue queue;
     routing::ChainTable chainTable;
     std::unordered_map<std::uint64_t, std::shared_ptr<Attempt>> attempts;
+    std::optional<double> statedRateLimit;
+    DispatchCounts dispatchCounts;
     std::uint64_t nextEntryId = 1;
     net::EventLoop::TimerId expiryTimer = net::EventLoop::noTimer;
     std::unique_ptr<net::RelayServer> server;
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
 #include <random>
 #include <utility>
 
@@ -150,16 +151,25 @@
 {
     const auto busyFraction = this->loop.takeBusyFraction();
     const auto load = this->inbound->load();
+    const auto dispatched = this->inbound->takeDispatchCounts();
+    const auto rateLimit = this->inbound->rateLimit();
     this->metrics.setGauge("figpulley_loop_busy_share", busyFraction);
     this->metrics.setGauge("figpulley_requests_in_flight", static_cast<double>(this->outbound->inFlight()));
     this->metrics.setGauge("figpulley_slots_taken", load.running);
     this->metrics.setGauge("figpulley_requests_waiting", load.waiting);
+    this->metrics.setGauge("figpulley_endpoint_limit_per_second", rateLimit.value_or(std::numeric_limits<double>::infinity()));
     core::log(core::LogLevel::Info, "node.load",
               {{"busy", fmt::format("{:.2f}", busyFraction)},
                {"in_flight", fmt::to_string(this->outbound->inFlight())},
                {"running", fmt::to_string(load.running)},
                {"waiting", fmt::to_string(load.waiting)},
                {"slots", fmt::to_string(load.slots)},
+               {"limit", formatRate(rateLimit)},
+               {"sent", fmt::to_string(dispatched.total())},
+               {"nested", fmt::to_string(dispatched.nested)},
+               {"repeats", fmt::to_string(dispatched.repeats)},
+               {"origins", fmt::to_string(dispatched.byOrigin.size())},
+               {"largest_origin", fmt::to_string(dispatched.largestOrigin())},
                {"mean_run_ms", fmt::to_string(core::toMilliseconds(this->inbound->meanRunTime()))},
                {"endpoints", fmt::to_string(this->boardSections.directory.read().size())}});
     this->loadTimer = this->loop.callAfter(loadLogInterval, [this] { this->reportLoad(); });
--- a/src/mesh/wireformat.h
+++ b/src/mesh/wireformat.h
@@ -36,6 +36,9 @@
     bool isStamped = false; ///< has the stamp header, so that the response is the endpoint's own
     bool isNotRun = false; ///< the endpoint states that it did not run the request
     bool isEncoded = false; ///< the body was encoded by an intermediary, so that it is not the endpoint's
+    std::optional<double> rateLimit; ///< requests per second that the endpoint accepts from all nodes together; empty for no limit
+    bool isRateLimitInvalid = false; ///< the response states a limit that is not a finite number of at least 0
+    bool isLeaving = false; ///< the endpoint states that it is leaving
 };
 
 /// Requests at a node's control and readiness addresses.
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -41,6 +41,11 @@
     Family<Counter> &ingress = counterFamily(*this->registry, "figpulley_ingress_calls_total", "Calls answered by the ingress");
     Family<Histogram> &ingressSeconds =
         histogramFamily(*this->registry, "figpulley_ingress_duration_seconds", "Time from a call's arrival at the ingress to its answer");
+    Family<Counter> &dispatches =
+        counterFamily(*this->registry, "figpulley_dispatched_requests_total", "Requests sent to the endpoint on this VM");
+    Family<Histogram> &dispatchWaitSeconds =
+        histogramFamily(*this->registry, "figpulley_dispatch_wait_seconds",
+                        "Time from an attempt's arrival at the ingress until it was sent to the endpoint");
     std::map<std::string, Gauge *, std::less<>> gauges;
 };
 
@@ -73,6 +78,12 @@
     this->implementation->ingressSeconds.Add({{"service", service}}, latencyBucketsSeconds).Observe(core::toSeconds(latency));
 }
 
+void NodeMetrics::countDispatch(const std::string &service, std::string_view kind, core::Duration wait)
+{
+    this->implementation->dispatches.Add({{"service", service}, {"kind", std::string(kind)}}).Increment();
+    this->implementation->dispatchWaitSeconds.Add({{"service", service}}, latencyBucketsSeconds).Observe(core::toSeconds(wait));
+}
+
 void NodeMetrics::setGauge(std::string_view name, double value)
 {
     auto found = this->implementation->gauges.find(name);
--- a/src/node/nodemetrics.h
+++ b/src/node/nodemetrics.h
@@ -46,6 +46,11 @@
     /// Counts a call that the ingress has responded to.
     void countIngress(const std::string &service, core::ErrorKind kind, core::Duration latency);
 
+    /// Counts a request that was sent to the endpoint on this VM.
+    /// @param kind first, nested or repeat
+    /// @param wait time from the arrival of the attempt until it was sent
+    void countDispatch(const std::string &service, std::string_view kind, core::Duration wait);
+
     void setGauge(std::string_view name, double value);
 
     /// Returns all metrics in the Prometheus text exposition format.
--- a/src/platform/platformwireformat.cpp
+++ b/src/platform/platformwireformat.cpp
@@ -32,6 +32,14 @@
     return number;
 }
 
+std::optional<double> parseRate(std::string_view text)
+{
+    double rate = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), rate);
+    const bool isNumber = error == std::errc() && end == text.data() + text.size();
+    return isNumber && std::isfinite(rate) && rate >= 0 ? std::optional(rate) : std::nullopt;
+}
+
 // Reads a heartbeat. The sender is not trusted, so every field is checked.
 mesh::ControlCall readHeartbeat(std::string id, const json &body)
 {
@@ -163,6 +171,11 @@
     reply.isStamped = !net::findHeader(head.headers, names::stamp).empty();
     reply.isNotRun = !net::findHeader(head.headers, names::notRun).empty() || head.status == misdirected;
     reply.isEncoded = !net::findHeader(head.headers, "Content-Encoding").empty();
+    if (const auto rateLimit = net::findHeader(head.headers, names::rateLimit); !rateLimit.empty()) {
+        reply.rateLimit = parseRate(rateLimit);
+        reply.isRateLimitInvalid = !reply.rateLimit;
+    }
+    reply.isLeaving = net::findHeader(head.headers, names::leaving) == names::leavingValue;
     return reply;
 }
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -108,3 +108,33 @@
     head.headers = {{"X-Not-Run", "1"}};
     story.check(wire.readUpstreamReply(head).isNotRun, "a request with X-Not-Run in its response not to have run");
 }
+
+Test(platform, statements_of_endpoints_about_themselves_are_decoded)
+{
+    tests::Story story;
+    const platform::PlatformWireFormat wire;
+    const auto replyWith = [&wire](net::Headers headers) {
+        net::ClientResponseHead head;
+        head.status = 200;
+        head.headers = std::move(headers);
+        return wire.readUpstreamReply(head);
+    };
+    story.section("a response without a statement", [&] {
+        const auto reply = replyWith({});
+        story.check(!reply.rateLimit && !reply.isRateLimitInvalid && !reply.isLeaving, "no limit and no departure");
+    });
+    story.section("a limit", [&] {
+        story.equal(replyWith({{"server-limit", "72.25"}}).rateLimit, std::optional(72.25), "a decimal number of requests per second");
+        story.equal(replyWith({{"Server-Limit", "0"}}).rateLimit, std::optional(0.0), "a limit of 0 to differ from no limit");
+    });
+    story.section("a limit that is not a number of requests", [&] {
+        for (const auto *text : {"-1", "fast", "nan", "inf", "12 ", "1e999"}) {
+            const auto reply = replyWith({{"Server-Limit", text}});
+            story.check(!reply.rateLimit && reply.isRateLimitInvalid, std::string("the limit to be marked invalid: ") + text);
+        }
+    });
+    story.section("a departure", [&] {
+        story.check(replyWith({{"Server-Leaving", "1"}}).isLeaving, "the value 1 to mean that the endpoint is leaving");
+        story.check(!replyWith({{"Server-Leaving", "0"}}).isLeaving, "another value to mean nothing");
+    });
+}
