Keep requests within the rate limit that an endpoint states

The admission in front of an endpoint counted slots only, and an endpoint in need has free slots.

Why this works: every request to an endpoint passes the node on its VM, whichever node, retry or nested call it comes from, and waits there until it is sent. A token bucket at that one place therefore bounds the sum over all nodes. Waiting requests take tokens in the order of their priority; what cannot start in time is refused at once as not run, with staggered retry times. A limit lasts until a response to a request that was sent after it was stated shows otherwise, so late responses and silence change nothing; one request per limit_probe_interval_s is always sent, so that the end of a limit of 0 is noticed. Reports to other nodes carry the limit and its use, so that they choose endpoints with room; their attempts carry the limit back, so that a restarted node knows it before its endpoint responds.

Without the check of the token bucket three of the new tests fail: requests_start_within_the_rate_limit_of_the_endpoint, no_window_of_four_seconds_exceeds_the_rate_limit and important_requests_use_the_rate_limit_first.

--- a/src/explain/requesttrace.cpp
+++ b/src/explain/requesttrace.cpp
@@ -34,7 +34,7 @@
 std::string formatInputs(const LogLine &line)
 {
     std::string text;
-    for (const auto *key : {"running", "waiting", "slots", "waited_ms", "ran_ms", "detail", "endpoint"}) {
+    for (const auto *key : {"running", "waiting", "slots", "limit", "waited_ms", "ran_ms", "detail", "endpoint"}) {
         if (const auto value = line.field(key); !value.empty()) {
             text += fmt::format("{}{}={}", text.empty() ? "" : ", ", key, value);
         }
--- a/src/gate/slotqueue.cpp
+++ b/src/gate/slotqueue.cpp
@@ -72,6 +72,33 @@
     this->slotCount = std::max(1, slots);
 }
 
+std::vector<SlotDecision> SlotQueue::setRateLimit(std::optional<double> perSecond, TimePoint now)
+{
+    this->rateLimiter.setLimit(perSecond, now);
+    return this->startWaiting(now);
+}
+
+void SlotQueue::setMaxRequestInterval(Duration interval) noexcept
+{
+    this->rateLimiter.setMaxInterval(interval);
+}
+
+std::optional<Duration> SlotQueue::timeUntilNextStart(TimePoint now) const
+{
+    const bool isWaitingForRate = !this->queue.empty() && this->rateLimiter.limit() && this->runningCount < this->usableSlots();
+    return isWaitingForRate ? std::optional(this->rateLimiter.timeUntilAvailable(1, now)) : std::nullopt;
+}
+
+Duration SlotQueue::rateLimitDelay(TimePoint now) const noexcept
+{
+    return this->rateLimiter.timeUntilAvailable(static_cast<double>(this->queue.size() + 1), now);
+}
+
+double SlotQueue::rateLimitUtilization(TimePoint now) const noexcept
+{
+    return this->rateLimiter.utilization(now);
+}
+
 Duration SlotQueue::meanRunTime() const noexcept
 {
     return this->meanRunTimeSeconds > 0 ? fromSeconds(this->meanRunTimeSeconds) : defaultRunTime;
@@ -93,10 +120,10 @@
     return std::clamp(static_cast<int>(limit), minRootLimit, this->usableSlots());
 }
 
-bool SlotQueue::canRun(const QueuedRequest &request) const noexcept
+bool SlotQueue::canRun(const QueuedRequest &request, TimePoint now) const noexcept
 {
     const bool hasSlot = this->runningCount < this->usableSlots();
-    return hasSlot && (request.isNested || this->runningRoots < this->rootLimit());
+    return hasSlot && this->rateLimiter.isAvailable(now) && (request.isNested || this->runningRoots < this->rootLimit());
 }
 
 SlotQueue::AdmissionCounts &SlotQueue::decayedCounts(const QueuedRequest &request, TimePoint now)
@@ -109,6 +136,7 @@
 
 void SlotQueue::markStarted(const QueuedRequest &request, TimePoint now)
 {
+    this->rateLimiter.consume(now);
     this->decayedCounts(request, now).started += 1;
     ++this->runningCount;
     this->runningRoots += request.isNested ? 0 : 1;
@@ -160,9 +188,9 @@
     return std::min(now + std::max(maxWait, minWait), end - this->meanRunTime());
 }
 
-Duration SlotQueue::expectedWait(const QueuedRequest &request) const
+Duration SlotQueue::expectedWait(const QueuedRequest &request, TimePoint now) const
 {
-    if (this->canRun(request) && this->queue.empty()) {
+    if (this->canRun(request, now) && this->queue.empty()) {
         return Duration {};
     }
     const auto level = levelPrecedence(request);
@@ -173,20 +201,37 @@
         ahead += key.precedence <= last ? 1 : 0;
         nestedAhead += key.precedence == level + nestedPrecedence ? 1 : 0;
     }
+    return std::max(this->expectedSlotWait(request, ahead, nestedAhead), this->expectedRateWait(request, ahead, nestedAhead, now));
+}
+
+// The number of requests that precede a request in the queue is `ahead`.
+Duration SlotQueue::expectedSlotWait(const QueuedRequest &request, std::int64_t ahead, std::int64_t nestedAhead) const
+{
+    const bool hasSlot = this->runningCount + ahead < this->usableSlots();
+    if (this->rateLimiter.limit() && hasSlot) {
+        return Duration {}; // the requests ahead wait for the rate limit
+    }
     const bool isBehindBottleneck = !request.isNested && this->rootLimit() < this->usableSlots();
     if (isBehindBottleneck) {
         return fromSeconds(static_cast<double>(ahead + 1) / this->rootsPerSecond);
     }
     const auto wait = this->meanRunTime() * (ahead + 1) / this->usableSlots();
     const auto ratio = request.isNested ? 0 : this->minRootSlotRatio(request);
-    if (ratio <= 0) {
-        return wait;
-    }
     const auto waitAtMinRatio =
         fromSeconds(core::toSeconds(this->meanRunTime()) * static_cast<double>(ahead - nestedAhead + 1) / (ratio * this->usableSlots()));
     return std::min(wait, waitAtMinRatio);
 }
 
+Duration SlotQueue::expectedRateWait(const QueuedRequest &request, std::int64_t ahead, std::int64_t nestedAhead, TimePoint now) const
+{
+    const auto wait = this->rateLimiter.timeUntilAvailable(static_cast<double>(ahead + 1), now);
+    const auto ratio = request.isNested ? 0 : this->minRootSlotRatio(request);
+    if (ratio <= 0) {
+        return wait;
+    }
+    return std::min(wait, this->rateLimiter.timeUntilAvailable(static_cast<double>(ahead - nestedAhead + 1) / ratio, now));
+}
+
 // Returns the fraction of the slots that root calls of a priority get at least, however many nested calls of the priority are offered.
 double SlotQueue::minRootSlotRatio(const QueuedRequest &request) const noexcept
 {
@@ -199,7 +244,7 @@
 // Staggers the retry times of refused callers, since callers that retry all at once would be refused again.
 Duration SlotQueue::assignRetryAfter(Duration wait, TimePoint now)
 {
-    const auto rate = retryRateRatio * this->rootsPerSecond;
+    const auto rate = retryRateRatio * std::min(this->rootsPerSecond, this->rateLimiter.rate());
     const auto interval = rate > 0 ? fromSeconds(1 / rate) : Duration {};
     const auto earliest = now + std::max(minRetryAfter, wait);
     this->latestRetryAt = std::clamp(this->latestRetryAt + interval, earliest, std::max(earliest, now + maxRetryAfter));
@@ -208,7 +253,7 @@
 
 SlotDecision SlotQueue::makeRefusal(const QueuedRequest &request, ErrorKind kind, TimePoint now)
 {
-    const auto wait = this->expectedWait(request);
+    const auto wait = this->expectedWait(request, now);
     return {request.entry, SlotDecision::Kind::Refuse, kind,
             request.isNested ? std::max(minRetryAfter, wait) : this->assignRetryAfter(wait, now)};
 }
@@ -221,13 +266,13 @@
     this->decayedCounts(request, now).offered += 1;
     const auto key = this->makeKey(request, now);
     const auto first = this->queue.begin();
-    const bool isFirst = first == this->queue.end() || key < first->first || !this->canRun(first->second.request);
-    if (isFirst && this->canRun(request)) {
+    const bool isFirst = first == this->queue.end() || key < first->first || !this->canRun(first->second.request, now);
+    if (isFirst && this->canRun(request, now)) {
         this->markStarted(request, now);
         return {request.entry, SlotDecision::Kind::Run, ErrorKind::None, {}};
     }
     const auto until = this->waitLimit(request, now);
-    if (now + this->expectedWait(request) > until || this->queue.size() >= maxQueueLength) {
+    if (now + this->expectedWait(request, now) > until || this->queue.size() >= maxQueueLength) {
         return this->makeRefusal(request, ErrorKind::Overloaded, now);
     }
     this->queue.emplace(key, Waiting {request, until});
@@ -239,7 +284,7 @@
 // below its minimum.
 SlotQueue::Queue::iterator SlotQueue::findNextToRun(TimePoint now)
 {
-    const auto canRun = [this](const auto &item) { return this->canRun(item.second.request); };
+    const auto canRun = [this, now](const auto &item) { return this->canRun(item.second.request, now); };
     const auto first = std::find_if(this->queue.begin(), this->queue.end(), canRun);
     if (first == this->queue.end() || !first->second.request.isNested) {
         return first;
@@ -259,6 +304,11 @@
     this->recordRun(run, now);
     this->runningCount = std::max(0, this->runningCount - 1);
     this->runningRoots = std::max(0, this->runningRoots - (run.isNested ? 0 : 1));
+    return this->startWaiting(now);
+}
+
+std::vector<SlotDecision> SlotQueue::startWaiting(TimePoint now)
+{
     auto decisions = this->expire(now);
     while (this->runningCount < this->usableSlots()) {
         const auto at = this->findNextToRun(now);
--- a/src/gate/slotqueue.h
+++ b/src/gate/slotqueue.h
@@ -4,10 +4,12 @@
 #include "core/ids.h"
 #include "core/rank.h"
 #include "core/time.h"
+#include "gate/ratelimiter.h"
 
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -59,12 +61,21 @@
 /// Two limits apply below the number of slots. A fraction of the slots stays free, since endpoints slow down when they are nearly full.
 /// When runs spend much of their objective waiting for nested calls, a service further down the chain is the bottleneck: then only as many
 /// root calls run as that service completes in time. The others wait here in rank order, so that they hold no slots along the chain.
+///
+/// While the endpoint states a rate limit, requests also start at no higher rate than that. They wait and are refused as for slots.
 class SlotQueue
 {
 public:
     /// Sets the number of requests that the endpoint processes concurrently, at least 1.
     void setSlots(int slots);
 
+    /// Sets the rate limit of the endpoint in requests per second; nothing for no limit.
+    /// @returns decisions on waiting requests that now run
+    [[nodiscard]] std::vector<SlotDecision> setRateLimit(std::optional<double> perSecond, core::TimePoint now);
+
+    /// Sets the longest interval between two requests under a rate limit.
+    void setMaxRequestInterval(core::Duration interval) noexcept;
+
     /// Decides whether a new request runs, waits or is refused.
     [[nodiscard]] SlotDecision offer(const QueuedRequest &request, core::TimePoint now);
 
@@ -75,6 +86,19 @@
     /// Refuses waiting requests whose wait limit has passed.
     [[nodiscard]] std::vector<SlotDecision> expire(core::TimePoint now);
 
+    /// Starts waiting requests as far as slots and the rate limit allow.
+    /// @returns decisions on waiting requests that now run or are refused
+    [[nodiscard]] std::vector<SlotDecision> startWaiting(core::TimePoint now);
+
+    /// Time until the rate limit allows the next waiting request to start; nothing if no request waits for it.
+    [[nodiscard]] std::optional<core::Duration> timeUntilNextStart(core::TimePoint now) const;
+
+    /// Time until the rate limit would allow a further request to start, after those that wait; 0 without a limit.
+    [[nodiscard]] core::Duration rateLimitDelay(core::TimePoint now) const noexcept;
+
+    /// Recent rate of requests relative to the rate limit; 0 without a limit.
+    [[nodiscard]] double rateLimitUtilization(core::TimePoint now) const noexcept;
+
     /// Removes a waiting request whose caller has disconnected.
     /// @returns whether the request was waiting
     bool abandon(core::EntryId entry);
@@ -93,7 +117,7 @@
     [[nodiscard]] int rootLimit() const noexcept;
 
     /// Estimates how long a request would wait if it arrived now.
-    [[nodiscard]] core::Duration expectedWait(const QueuedRequest &request) const;
+    [[nodiscard]] core::Duration expectedWait(const QueuedRequest &request, core::TimePoint now) const;
 
 private:
     /// Exponentially decayed counts of offered and started requests of one kind and priority.
@@ -132,10 +156,14 @@
     [[nodiscard]] int usableSlots() const noexcept;
     [[nodiscard]] double minRootSlotRatio(const QueuedRequest &request) const noexcept;
     [[nodiscard]] bool isLate(const QueuedRequest &request, core::TimePoint now) const noexcept;
-    [[nodiscard]] bool canRun(const QueuedRequest &request) const noexcept;
+    [[nodiscard]] bool canRun(const QueuedRequest &request, core::TimePoint now) const noexcept;
+    [[nodiscard]] core::Duration expectedSlotWait(const QueuedRequest &request, std::int64_t ahead, std::int64_t nestedAhead) const;
+    [[nodiscard]] core::Duration expectedRateWait(const QueuedRequest &request, std::int64_t ahead, std::int64_t nestedAhead,
+                                                  core::TimePoint now) const;
     void markStarted(const QueuedRequest &request, core::TimePoint now);
     void recordRun(const FinishedRun &run, core::TimePoint now);
 
+    RateLimiter rateLimiter;
     int slotCount = 1;
     int runningCount = 0;
     int runningRoots = 0;
--- a/src/mesh/controlserver.cpp
+++ b/src/mesh/controlserver.cpp
@@ -89,6 +89,9 @@
             {"open", local.acceptsRequests()},
             {"slots", local.record()->slots},
         };
+        if (const auto limit = board.condition.read().limit.value()) {
+            status["endpoint"]["limit_per_second"] = *limit;
+        }
     }
     return status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
--- a/src/mesh/inboundproxy.cpp
+++ b/src/mesh/inboundproxy.cpp
@@ -1,6 +1,8 @@
 #include "mesh/inboundproxy.h"
 
 #include "core/log.h"
+#include "mesh/conditionheader.h"
+#include "mesh/localregistrar.h"
 #include "mesh/meshboard.h"
 #include "mesh/meshsettings.h"
 #include "mesh/wireformat.h"
@@ -29,6 +31,7 @@
 constexpr core::Duration upstreamConnectTimeout = 400ms;
 constexpr core::Duration maxUpstreamIdle = 3s; // endpoints close idle connections after their own timeout, usually 10 s
 constexpr core::Duration upstreamTimeoutMargin = 20ms; // lets the timer of the sending node expire first
+constexpr core::Duration minStartDelay = 2ms; // starts several attempts per timer under high rate limits
 constexpr core::Duration refusedRetryAfter = 200ms;
 constexpr int httpOk = 200;
 constexpr int httpFirstNonSuccess = 300;
@@ -93,7 +96,9 @@
         outcome.kind = kind;
         outcome.ran = ran;
         auto response = node::makeErrorResponse(outcome, retryAfter);
-        response.headers.push_back({std::string(node::outcomeHeader), encode(report)});
+        for (auto &header : this->reportHeaders(report)) {
+            response.headers.push_back(std::move(header));
+        }
         this->exchange->respond(std::move(response));
         this->logRefusal(report);
         this->proxy.context.metrics.countIngress(this->head.service, kind, core::steadyNow() - this->arrived);
@@ -118,6 +123,7 @@
                    {"running", fmt::to_string(report.load.running)},
                    {"waiting", fmt::to_string(report.load.waiting)},
                    {"slots", fmt::to_string(report.load.slots)},
+                   {"limit", formatRate(this->proxy.context.board.condition.read().limit.value())},
                    {"waited_ms", fmt::to_string(core::toMilliseconds(core::steadyNow() - this->arrived))},
                    {"retry_after_ms", fmt::to_string(core::toMilliseconds(report.retryAfter))},
                    {"left_out", fmt::to_string(*omittedLines)}});
@@ -128,6 +134,7 @@
         auto &context = this->proxy.context;
         const auto &incoming = this->exchange->request();
         this->started = core::steadyNow();
+        this->incarnation = context.board.local.read().record()->incarnation;
         const auto kind = this->proxy.dispatchCounts.add(this->head.originNode, this->head.isNested, this->head.isRepeat);
         context.metrics.countDispatch(this->head.service, kind, this->started - this->arrived);
         this->proxy.chainTable.addRun(this->requestId, {this->head.rank, this->head.isRepeat, this->head.isNested});
@@ -160,7 +167,7 @@
 
 private:
     // An endpoint may respond to an earlier request when the response to this one is expected. The echoed request id shows this.
-    [[nodiscard]] bool answersThisRequest(const net::ClientResponseHead &response) const
+    [[nodiscard]] bool answersThisRequest(const net::ClientResponseHead &response)
     {
         const auto reply = this->proxy.context.wire.readUpstreamReply(response);
         const bool isSuccess = response.status >= httpOk && response.status < httpFirstNonSuccess;
@@ -168,10 +175,38 @@
             core::log(core::LogLevel::Warning, "answer.foreign", {{"id", this->requestId}, {"answers", reply.requestId}});
             return false;
         }
-        this->proxy.applyStatements(reply, this->head, this->requestId);
+        this->applyStatements(reply);
         return true;
     }
 
+    // Applies what the endpoint states about itself in a response. A response without an id may belong to another request.
+    void applyStatements(const UpstreamReply &reply)
+    {
+        auto &context = this->proxy.context;
+        const auto &condition = context.board.condition.read();
+        const bool isCurrent = condition.endpointId == this->head.endpointId && condition.incarnation == this->incarnation;
+        if (reply.requestId != this->requestId || !isCurrent) {
+            return;
+        }
+        if (reply.isRateLimitInvalid) {
+            if (const auto omittedLines = context.sampler.tryAcquire("endpoint.limit_invalid", core::steadyNow())) {
+                core::log(core::LogLevel::Warning, "endpoint.limit_invalid",
+                          {{"endpoint", this->head.endpointId}, {"id", this->requestId}, {"left_out", fmt::to_string(*omittedLines)}});
+            }
+            return;
+        }
+        this->proxy.applyStatedLimit(reply.rateLimit, this->started);
+    }
+
+    [[nodiscard]] net::Headers reportHeaders(const AttemptReport &report) const
+    {
+        net::Headers headers {{std::string(node::outcomeHeader), encode(report)}};
+        if (const auto condition = this->proxy.condition()) {
+            headers.push_back({std::string(node::conditionHeader), encode(*condition)});
+        }
+        return headers;
+    }
+
     [[nodiscard]] AttemptReport report(ErrorKind kind) const
     {
         AttemptReport report;
@@ -192,7 +227,7 @@
             return false;
         }
         this->replaceFalseNotRunStatus(reply);
-        this->relay->startStreaming({{std::string(node::outcomeHeader), encode(this->report(ErrorKind::None))}});
+        this->relay->startStreaming(this->reportHeaders(this->report(ErrorKind::None)));
         return true;
     }
 
@@ -231,7 +266,7 @@
         }
         this->replaceFalseNotRunStatus(reply);
         this->finish(ErrorKind::None);
-        this->relay->sendBuffered({{std::string(node::outcomeHeader), encode(this->report(ErrorKind::None))}});
+        this->relay->sendBuffered(this->reportHeaders(this->report(ErrorKind::None)));
     }
 
     // Refuses the attempt because its run gave no response that can be passed on.
@@ -292,15 +327,18 @@
     core::TimePoint arrived;
     core::TimePoint deadline;
     core::TimePoint started {};
+    std::int64_t incarnation = 0; // incarnation of the endpoint that runs the request
     std::string requestId;
     bool isStreamRejected = false; // a streamed response was rejected because it is not the endpoint's own
 };
 
-InboundProxy::InboundProxy(MeshContext context, SnapshotExchange &snapshots, ChangeRelay &changes)
+InboundProxy::InboundProxy(MeshContext context, LocalRegistrar &registrar, SnapshotExchange &snapshots, ChangeRelay &changes)
     : context(context)
+    , registrar(registrar)
     , snapshots(snapshots)
     , changes(changes)
 {
+    this->queue.setMaxRequestInterval(context.settings.limitProbeInterval);
     this->server = std::make_unique<net::RelayServer>(
         context.loop, context.settings.ingress, [this](std::shared_ptr<net::HttpExchange> exchange) { this->accept(std::move(exchange)); });
 }
@@ -308,6 +346,7 @@
 InboundProxy::~InboundProxy()
 {
     this->context.loop.cancel(this->expiryTimer);
+    this->context.loop.cancel(this->startTimer);
 }
 
 std::size_t InboundProxy::inFlight() const noexcept
@@ -330,35 +369,87 @@
     return this->queue.meanRunTime();
 }
 
-std::optional<double> InboundProxy::rateLimit() const noexcept
+DispatchCounts InboundProxy::takeDispatchCounts()
 {
-    return this->statedRateLimit;
+    return std::exchange(this->dispatchCounts, {});
 }
 
-DispatchCounts InboundProxy::takeDispatchCounts()
+void InboundProxy::setLimitProbeInterval(core::Duration interval)
 {
-    return std::exchange(this->dispatchCounts, {});
+    this->queue.setMaxRequestInterval(interval);
+    this->applyDecisions(this->queue.startWaiting(core::steadyNow()));
 }
 
-// Records what the endpoint states about itself in a response to the request.
-void InboundProxy::applyStatements(const UpstreamReply &reply, const AttemptHead &head, const std::string &requestId)
+void InboundProxy::resetConditionOfOtherIncarnation()
 {
-    if (reply.requestId != requestId) {
+    const auto &record = this->context.board.local.read().record();
+    const auto &condition = this->context.board.condition.read();
+    if (!record || (record->id == condition.endpointId && record->incarnation == condition.incarnation)) {
         return;
     }
-    if (reply.isRateLimitInvalid) {
-        if (const auto omittedLines = this->context.sampler.tryAcquire("limit.invalid", core::steadyNow())) {
-            core::log(core::LogLevel::Warning, "endpoint.limit_invalid",
-                      {{"endpoint", head.endpointId}, {"id", requestId}, {"left_out", fmt::to_string(*omittedLines)}});
-        }
-    } else if (reply.rateLimit != this->statedRateLimit) {
-        this->statedRateLimit = reply.rateLimit;
-        core::log(
-            core::LogLevel::Info, "endpoint.limit",
-            {{"endpoint", head.endpointId}, {"per_second", formatRate(reply.rateLimit)}, {"id", requestId}, {"origin", head.originNode}});
+    const bool hadLimit = condition.limit.value().has_value();
+    this->context.board.condition.write() = {record->id, record->incarnation, {}};
+    if (hadLimit) {
+        this->applyRateLimit("new incarnation");
+    }
+}
+
+// Applies the limit that another node knows, in case this node has restarted since the endpoint stated it.
+void InboundProxy::applyLimitHint(std::string_view header, const std::string &originNode)
+{
+    const auto hint = decodeEndpointCondition(header);
+    const auto &condition = this->context.board.condition.read();
+    const bool isCurrent = hint && hint->endpointId == condition.endpointId && hint->incarnation == condition.incarnation;
+    if (isCurrent && hint->rateLimit && this->context.board.condition.write().limit.applyHint(*hint->rateLimit)) {
+        this->applyRateLimit(originNode);
     }
 }
 
+void InboundProxy::applyStatedLimit(std::optional<double> stated, core::TimePoint sentAt)
+{
+    if (this->context.board.condition.write().limit.applyResponse(stated, sentAt, core::steadyNow())) {
+        this->applyRateLimit("response");
+    }
+}
+
+void InboundProxy::applyRateLimit(std::string_view source)
+{
+    const auto now = core::steadyNow();
+    const auto &condition = this->context.board.condition.read();
+    if (const auto omittedLines = this->context.sampler.tryAcquire("endpoint.limit", now)) {
+        core::log(core::LogLevel::Info, "endpoint.limit",
+                  {{"endpoint", condition.endpointId},
+                   {"per_second", formatRate(condition.limit.value())},
+                   {"source", std::string(source)},
+                   {"running", fmt::to_string(this->queue.running())},
+                   {"waiting", fmt::to_string(this->queue.waiting())},
+                   {"left_out", fmt::to_string(*omittedLines)}});
+    }
+    // The timer was set for the earlier limit.
+    this->context.loop.cancel(this->startTimer);
+    this->startTimer = net::EventLoop::noTimer;
+    this->applyDecisions(this->queue.setRateLimit(condition.limit.value(), now));
+}
+
+std::optional<routing::EndpointCondition> InboundProxy::condition() const
+{
+    const auto &record = this->context.board.local.read().record();
+    const auto &local = this->context.board.condition.read();
+    const bool isCurrent = record && record->id == local.endpointId && record->incarnation == local.incarnation;
+    const bool isLeaving = record && discovery::isFinal(record->state);
+    const auto rateLimit = isCurrent ? local.limit.value() : std::nullopt;
+    if (!isLeaving && !rateLimit) {
+        return std::nullopt;
+    }
+    const auto now = core::steadyNow();
+    routing::EndpointCondition condition {record->id, record->incarnation, rateLimit, 0, {}, isLeaving};
+    if (rateLimit) {
+        condition.utilization = this->queue.rateLimitUtilization(now);
+        condition.availableIn = this->queue.rateLimitDelay(now);
+    }
+    return condition;
+}
+
 ErrorKind InboundProxy::validate(const AttemptHead &head) const
 {
     if (this->context.board.lifecycle.read().isStopping) {
@@ -389,6 +480,8 @@
         return;
     }
     this->snapshots.fetchIfNewer(head->originNode, head->configVersion);
+    this->resetConditionOfOtherIncarnation();
+    this->applyLimitHint(net::findHeader(request.headers, node::conditionHeader), head->originNode);
     const core::EntryId id {this->nextEntryId++};
     const auto attempt = std::make_shared<Attempt>(*this, id, std::move(*head), std::move(exchange));
     this->attempts.emplace(core::value(id), attempt);
@@ -418,6 +511,22 @@
             attempt->refuse(decision.refusal, Ran::No, decision.retryAfter);
         }
     }
+    this->scheduleStart();
+}
+
+void InboundProxy::scheduleStart()
+{
+    if (this->startTimer != net::EventLoop::noTimer) {
+        return;
+    }
+    const auto delay = this->queue.timeUntilNextStart(core::steadyNow());
+    if (!delay) {
+        return;
+    }
+    this->startTimer = this->context.loop.callAfter(std::max(minStartDelay, *delay), [this] {
+        this->startTimer = net::EventLoop::noTimer;
+        this->applyDecisions(this->queue.startWaiting(core::steadyNow()));
+    });
 }
 
 void InboundProxy::refuseQueued()
--- a/src/mesh/inboundproxy.h
+++ b/src/mesh/inboundproxy.h
@@ -6,9 +6,9 @@
 #include "mesh/dispatchcounts.h"
 #include "mesh/meshcontext.h"
 #include "mesh/snapshotexchange.h"
-#include "mesh/wireformat.h"
 #include "net/relayserver.h"
 #include "routing/chaintable.h"
+#include "routing/endpointcondition.h"
 
 #include <memory>
 #include <unordered_map>
@@ -22,7 +22,8 @@
 class InboundProxy
 {
 public:
-    InboundProxy(MeshContext context, SnapshotExchange &snapshots, ChangeRelay &changes);
+    /// @param registrar receives departures that the endpoint states in its responses
+    InboundProxy(MeshContext context, LocalRegistrar &registrar, SnapshotExchange &snapshots, ChangeRelay &changes);
     ~InboundProxy();
     InboundProxy(const InboundProxy &) = delete;
     InboundProxy &operator=(const InboundProxy &) = delete;
@@ -38,8 +39,8 @@
     /// Returns the moving average of the endpoint's processing time.
     [[nodiscard]] core::Duration meanRunTime() const noexcept;
 
-    /// Returns the rate that the endpoint states as its limit, in requests per second; nothing while it states none.
-    [[nodiscard]] std::optional<double> rateLimit() const noexcept;
+    /// Sets the longest interval between two requests while the endpoint states a rate limit.
+    void setLimitProbeInterval(core::Duration interval);
 
     /// Returns the requests that were sent to the endpoint since the last call.
     [[nodiscard]] DispatchCounts takeDispatchCounts();
@@ -54,17 +55,23 @@
     [[nodiscard]] core::ErrorKind validate(const AttemptHead &head) const;
     void applyDecisions(const std::vector<gate::SlotDecision> &decisions);
     void scheduleExpiry();
-    void applyStatements(const UpstreamReply &reply, const AttemptHead &head, const std::string &requestId);
+    void scheduleStart();
+    void resetConditionOfOtherIncarnation();
+    void applyLimitHint(std::string_view header, const std::string &originNode);
+    void applyStatedLimit(std::optional<double> stated, core::TimePoint sentAt);
+    void applyRateLimit(std::string_view source);
+    [[nodiscard]] std::optional<routing::EndpointCondition> condition() const;
     MeshContext context;
+    LocalRegistrar &registrar;
     SnapshotExchange &snapshots;
     ChangeRelay &changes;
     gate::SlotQueue queue;
     routing::ChainTable chainTable;
     std::unordered_map<std::uint64_t, std::shared_ptr<Attempt>> attempts;
-    std::optional<double> statedRateLimit;
     DispatchCounts dispatchCounts;
     std::uint64_t nextEntryId = 1;
     net::EventLoop::TimerId expiryTimer = net::EventLoop::noTimer;
+    net::EventLoop::TimerId startTimer = net::EventLoop::noTimer; // next time at which the rate limit allows a waiting attempt to start
     std::unique_ptr<net::RelayServer> server;
 };
 } // namespace figpulley::mesh
--- a/src/mesh/meshboard.h
+++ b/src/mesh/meshboard.h
@@ -4,6 +4,7 @@
 #include "core/time.h"
 #include "discovery/directory.h"
 #include "discovery/localendpoint.h"
+#include "gate/statedlimit.h"
 #include "mesh/fwd.h"
 #include "routing/routetable.h"
 
@@ -26,12 +27,21 @@
     core::TimePoint stopRequestedAt {};
 };
 
+/// What the endpoint on this VM states about itself in its responses.
+struct LocalCondition
+{
+    std::string endpointId; ///< endpoint that the limit belongs to
+    std::int64_t incarnation = 0;
+    gate::StatedLimit limit;
+};
+
 /// Shared state of one node, in typed sections with one writer class each.
 struct MeshBoard
 {
     board::Section<ActiveConfig, ConfigUpdater> config;
     board::Section<discovery::Directory, DirectoryUpdater> directory;
     board::Section<discovery::LocalEndpoint, LocalRegistrar> local;
+    board::Section<LocalCondition, InboundProxy> condition;
     board::Section<Lifecycle, MeshNode> lifecycle;
 };
 } // namespace figpulley::mesh
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -60,7 +60,7 @@
             this->inbound->refuseQueued();
         }
     });
-    this->inbound = std::make_unique<InboundProxy>(this->context, this->snapshots, this->changes);
+    this->inbound = std::make_unique<InboundProxy>(this->context, *this->registrar, this->snapshots, this->changes);
     this->outbound = std::make_unique<OutboundProxy>(this->context, this->snapshots, this->inbound->chains());
     this->control = std::make_unique<ControlServer>(this->context, *this->registrar, [this] { return this->isReady(); });
 }
@@ -152,7 +152,7 @@
     const auto busyFraction = this->loop.takeBusyFraction();
     const auto load = this->inbound->load();
     const auto dispatched = this->inbound->takeDispatchCounts();
-    const auto rateLimit = this->inbound->rateLimit();
+    const auto rateLimit = this->boardSections.condition.read().limit.value();
     this->metrics.setGauge("figpulley_loop_busy_share", busyFraction);
     this->metrics.setGauge("figpulley_requests_in_flight", static_cast<double>(this->outbound->inFlight()));
     this->metrics.setGauge("figpulley_slots_taken", load.running);
@@ -191,9 +191,11 @@
     expected.logLevel = changed.logLevel;
     expected.grace = changed.grace;
     expected.retryBudget = changed.retryBudget;
+    expected.limitProbeInterval = changed.limitProbeInterval;
     this->settings = expected;
     core::setLogLevel(changed.logLevel);
     this->outbound->setRetryBudget(changed.retryBudget);
+    this->inbound->setLimitProbeInterval(changed.limitProbeInterval);
     return expected == changed;
 }
 
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -31,7 +31,7 @@
 
     void start();
 
-    /// Applies the log level, the grace time and the retry budget of changed settings.
+    /// Applies the log level, the grace time, the retry budget and the limit probe interval of changed settings.
     /// @returns false if any other setting has changed, which needs a restart
     bool reload(const MeshSettings &changed);
 
--- a/src/mesh/meshsettings.cpp
+++ b/src/mesh/meshsettings.cpp
@@ -32,6 +32,10 @@
     KeySpec {"retry_slack", KeyType::Number, "48", 0, 100000,
              "retries per window that all nodes together may send to a service in addition to the ratio"},
     KeySpec {"retry_window_s", KeyType::Number, "10", 0.1, 600, "length of the window over which retries are counted, in seconds"},
+    KeySpec {
+        "limit_probe_interval_s", KeyType::Number, "5", 0.5, 60,
+        "longest interval between requests to an endpoint that states a rate limit, in seconds; a limit that allows fewer is exceeded, so "
+        "that its end is noticed"},
     KeySpec {"log_level", KeyType::String, "\"info\"", 3, 8, "debug, info, warning, error or off"},
 };
 
@@ -94,6 +98,7 @@
     settings.heartbeatInterval = seconds(reader, "heartbeat_interval_s");
     settings.grace = seconds(reader, "grace_s");
     settings.retryBudget = {reader.number("retry_ratio"), reader.number("retry_slack"), seconds(reader, "retry_window_s")};
+    settings.limitProbeInterval = seconds(reader, "limit_probe_interval_s");
     const auto level = core::logLevelFromName(reader.string("log_level"));
     if (level) {
         settings.logLevel = *level;
--- a/src/mesh/meshsettings.h
+++ b/src/mesh/meshsettings.h
@@ -30,6 +30,7 @@
     core::Duration heartbeatInterval {}; ///< time between two heartbeats of the endpoint
     core::Duration grace {}; ///< maximum time between SIGTERM and the end of the process
     routing::RetryBudgetRules retryBudget;
+    core::Duration limitProbeInterval {}; ///< longest interval between requests to an endpoint that states a rate limit
     core::LogLevel logLevel = core::LogLevel::Info;
 
     [[nodiscard]] bool operator==(const MeshSettings &) const = default;
--- a/src/mesh/outboundproxy.cpp
+++ b/src/mesh/outboundproxy.cpp
@@ -1,6 +1,7 @@
 #include "mesh/outboundproxy.h"
 
 #include "core/log.h"
+#include "mesh/conditionheader.h"
 #include "mesh/meshboard.h"
 #include "mesh/meshsettings.h"
 #include "mesh/wireformat.h"
@@ -179,10 +180,10 @@
         // A running request fails if any of its nested calls fails, so a nested call may use all the time up to its deadline.
         head.objectiveLeft = this->chain.isNested ? head.remaining : this->target - now;
         head.configVersion = this->routeTable->version();
-        this->sendAttempt(head);
+        this->sendAttempt(head, *endpoint);
     }
 
-    void sendAttempt(const AttemptHead &head)
+    void sendAttempt(const AttemptHead &head, const discovery::KnownEndpoint &endpoint)
     {
         auto &context = this->proxy.context;
         const auto &incoming = this->exchange->request();
@@ -202,6 +203,10 @@
             }
         }
         request.headers.push_back({std::string(node::callHeader), encode(head)});
+        if (const auto limit = this->proxy.picker.knownLimit(endpoint)) {
+            const routing::EndpointCondition hint {endpoint.record.id, endpoint.record.incarnation, limit, 0, {}, false};
+            request.headers.push_back({std::string(node::conditionHeader), encode(hint)});
+        }
         node::ResponseRelay::Callbacks callbacks;
         callbacks.onCommit = [self = this->shared_from_this()](const net::ClientResponseHead &) { return self->acceptStream(); };
         callbacks.onDone = [self = this->shared_from_this()](const net::ClientResult &result) { self->handleResult(result); };
@@ -215,6 +220,7 @@
     bool acceptStream()
     {
         const auto report = this->readReport();
+        this->recordCondition(report ? report->kind : ErrorKind::None);
         this->relay->startStreaming(this->connectionHeaders());
         this->recordOutcome(report ? report->kind : ErrorKind::None, this->relay->head().status);
         return true;
@@ -225,6 +231,27 @@
         return decodeAttemptReport(net::findHeader(this->relay->head().headers, node::outcomeHeader));
     }
 
+    // Records what the node reports about its endpoint. Only a response of the endpoint itself shows that a limit has ended.
+    void recordCondition(ErrorKind kind)
+    {
+        auto &context = this->proxy.context;
+        const auto now = core::steadyNow();
+        const auto condition = decodeEndpointCondition(net::findHeader(this->relay->head().headers, node::conditionHeader));
+        const bool isFromEndpoint = kind == ErrorKind::None || kind == ErrorKind::UpstreamRefused;
+        if ((!condition && !isFromEndpoint) || !this->proxy.picker.recordCondition(this->node, condition, now)) {
+            return;
+        }
+        if (const auto omittedLines = context.sampler.tryAcquire("endpoint.condition", now)) {
+            core::log(core::LogLevel::Info, "endpoint.condition",
+                      {{"node", this->node},
+                       {"endpoint", condition ? condition->endpointId : std::string()},
+                       {"limit", formatRate(condition ? condition->rateLimit : std::nullopt)},
+                       {"leaving", condition && condition->isLeaving ? "true" : "false"},
+                       {"id", this->requestId},
+                       {"left_out", fmt::to_string(*omittedLines)}});
+        }
+    }
+
     [[nodiscard]] net::Headers connectionHeaders() const
     {
         if (this->proxy.context.board.lifecycle.read().isStopping) {
@@ -247,6 +274,7 @@
                                                       : attemptOutcomeFor(kind);
         this->proxy.picker.recordOutcome(this->node, outcome, load, now);
         if (report) {
+            this->recordCondition(report->kind);
             this->proxy.snapshots.fetchIfNewer(this->node, report->configVersion);
         }
         if (this->relay->isStreaming()) {
--- a/src/node/headernames.h
+++ b/src/node/headernames.h
@@ -8,6 +8,7 @@
 inline constexpr std::string_view callHeader = "Figpulley-Call"; ///< envelope of an attempt; sent between nodes
 inline constexpr std::string_view proofHeader = "Figpulley-Proof"; ///< signature of the envelope; sent between nodes
 inline constexpr std::string_view outcomeHeader = "Figpulley-Outcome"; ///< report of an attempt; sent between nodes
+inline constexpr std::string_view conditionHeader = "Figpulley-Condition"; ///< what an endpoint states about itself; sent between nodes
 inline constexpr std::string_view parentHeader = "Figpulley-Parent"; ///< id of the parent call of a nested call
 inline constexpr std::string_view deadlineHeader = "Figpulley-Deadline-Ms"; ///< time left until the deadline; sent to the upstream
 inline constexpr std::string_view timeoutHeader = "Figpulley-Timeout-Ms"; ///< caller's timeout; can only shorten the deadline
--- a/src/routing/endpointpicker.cpp
+++ b/src/routing/endpointpicker.cpp
@@ -23,6 +23,7 @@
 constexpr double tieBreak = 0.02;
 constexpr core::Duration loadReportHalfLife = 500ms; // several response times; an older report says little about the present load
 constexpr core::Duration failurePenaltyHalfLife = 2s;
+constexpr double limitReachedPenalty = 1.0; // an endpoint whose rate limit allows no request yet is as costly as one without a free slot
 constexpr core::Duration minSuspension = 250ms;
 constexpr core::Duration maxSuspension = 2s; // a node that is reachable again gets requests again within this time
 constexpr core::Duration leavingSuspension = 1s; // the store reports the departure within this time
@@ -32,6 +33,19 @@
 {
     return std::exp2(-static_cast<double>(age.count()) / static_cast<double>(halfLife.count()));
 }
+
+// Whether a condition concerns the endpoint's incarnation. The directory may show a departed incarnation for some time.
+bool concerns(const EndpointCondition &condition, const KnownEndpoint &endpoint)
+{
+    return condition.endpointId == endpoint.record.id && condition.incarnation >= endpoint.record.incarnation;
+}
+
+// Occupancy that follows from the use of the rate limit.
+double limitOccupancy(const EndpointCondition &condition, core::Duration age)
+{
+    const auto penalty = age < condition.availableIn ? limitReachedPenalty : 0;
+    return condition.utilization * decay(age, loadReportHalfLife) + penalty;
+}
 } // namespace
 
 std::string_view name(AttemptOutcome outcome) noexcept
@@ -54,7 +68,47 @@
         const auto weight = decay(now - endpointStats.reportedAt, loadReportHalfLife);
         inUse = std::max(inUse, estimate * weight + inUse * (1 - weight));
     }
-    return inUse / slots;
+    const auto occupancy = inUse / slots;
+    const auto &condition = endpointStats.condition;
+    return condition.rateLimit && concerns(condition, endpoint)
+        ? std::max(occupancy, limitOccupancy(condition, now - endpointStats.conditionUpdated))
+        : occupancy;
+}
+
+const EndpointPicker::EndpointStats *EndpointPicker::findStats(const KnownEndpoint &endpoint) const
+{
+    const auto found = this->stats.find(endpoint.record.node);
+    return found == this->stats.end() ? nullptr : &found->second;
+}
+
+std::optional<double> EndpointPicker::knownLimit(const KnownEndpoint &endpoint) const
+{
+    const auto *known = this->findStats(endpoint);
+    return known != nullptr && concerns(known->condition, endpoint) ? known->condition.rateLimit : std::nullopt;
+}
+
+bool EndpointPicker::isLeaving(const KnownEndpoint &endpoint) const
+{
+    const auto *known = this->findStats(endpoint);
+    return known != nullptr && known->condition.isLeaving && concerns(known->condition, endpoint);
+}
+
+bool EndpointPicker::recordCondition(const std::string &node, const std::optional<EndpointCondition> &condition, core::TimePoint now)
+{
+    auto &known = this->stats[node].condition;
+    const auto earlier = known;
+    if (!condition) {
+        known.rateLimit.reset();
+        return earlier.rateLimit.has_value();
+    }
+    if (condition->incarnation < earlier.incarnation) {
+        return false; // a late report on an earlier incarnation
+    }
+    const bool isSameIncarnation = condition->endpointId == earlier.endpointId && condition->incarnation == earlier.incarnation;
+    known = *condition;
+    known.isLeaving = condition->isLeaving || (isSameIncarnation && earlier.isLeaving);
+    this->stats[node].conditionUpdated = now;
+    return !isSameIncarnation || known.rateLimit != earlier.rateLimit || known.isLeaving != earlier.isLeaving;
 }
 
 const KnownEndpoint *EndpointPicker::pick(const discovery::Directory &directory, const PickRequest &request, core::Random &random) const
--- a/src/routing/endpointpicker.h
+++ b/src/routing/endpointpicker.h
@@ -3,6 +3,7 @@
 #include "core/random.h"
 #include "core/time.h"
 #include "discovery/directory.h"
+#include "routing/endpointcondition.h"
 
 #include <optional>
 #include <string>
@@ -45,8 +46,9 @@
 };
 
 /// Chooses the endpoint of a service with the lowest cost: its occupancy, plus penalties for another zone, a cold start and recent
-/// failures. The caller's zone is therefore preferred until its endpoints are fuller than others by the penalty. Endpoints that leave or
-/// are unreachable are suspended for a while, and chosen only if all others are excluded or suspended too.
+/// failures. The caller's zone is therefore preferred until its endpoints are fuller than others by the penalty. An endpoint with a rate
+/// limit is also full when its limit is used up. Endpoints that leave or are unreachable are suspended for a while, and chosen only if all
+/// others are excluded or suspended too. An incarnation that states that it is leaving is never chosen again.
 class EndpointPicker
 {
 public:
@@ -61,7 +63,18 @@
     /// @param load load that the node reported in its response, if any
     void recordOutcome(const std::string &node, AttemptOutcome outcome, const std::optional<EndpointLoad> &load, core::TimePoint now);
 
-    /// Estimates the occupancy of an endpoint; 1 means that all its slots are taken.
+    /// Records what a node reports about its endpoint. A departure is final for the incarnation.
+    /// @param condition nothing if the endpoint has responded and states neither a limit nor a departure
+    /// @returns whether its limit or its departure has changed
+    bool recordCondition(const std::string &node, const std::optional<EndpointCondition> &condition, core::TimePoint now);
+
+    /// Rate limit of an endpoint that was reported to this node last, in requests per second; nothing if it has none.
+    [[nodiscard]] std::optional<double> knownLimit(const discovery::KnownEndpoint &endpoint) const;
+
+    /// Whether the endpoint's incarnation is known to be leaving.
+    [[nodiscard]] bool isLeaving(const discovery::KnownEndpoint &endpoint) const;
+
+    /// Estimates the occupancy of an endpoint; 1 means that all its slots are taken or that its rate limit is used up.
     [[nodiscard]] double occupancy(const discovery::KnownEndpoint &endpoint, core::TimePoint now) const;
 
     /// Whether attempts to the node are suspended, since it was unreachable or is leaving.
@@ -78,8 +91,12 @@
         core::TimePoint failureRateUpdated {};
         int consecutiveUnreachable = 0;
         core::TimePoint suspendedUntil {};
+        EndpointCondition condition; // as of conditionUpdated
+        core::TimePoint conditionUpdated {};
     };
 
+    [[nodiscard]] const EndpointStats *findStats(const discovery::KnownEndpoint &endpoint) const;
+
     std::unordered_map<std::string, EndpointStats> stats;
 };
 } // namespace figpulley::routing
--- a/src/routing/fwd.h
+++ b/src/routing/fwd.h
@@ -12,6 +12,7 @@
 class RouteTable;
 class SplitPicker;
 enum class RequestKind : std::uint8_t;
+struct EndpointCondition;
 struct Route;
 struct RouteSet;
 struct WeightedService;
--- a/tests/gate_test.cpp
+++ b/tests/gate_test.cpp
@@ -231,3 +231,232 @@
         story.equal(core::value(queue.finish({false, 50ms, {}, 1s}, now).at(0).entry), 2000U, "the late request to run after it");
     });
 }
+
+namespace
+{
+/// Drives a queue in virtual time in front of an endpoint with a rate limit, and records when requests start.
+class LimitedEndpoint
+{
+public:
+    LimitedEndpoint()
+    {
+        this->queue.setSlots(200);
+    }
+
+    void setLimit(std::optional<double> perSecond)
+    {
+        this->record(this->queue.setRateLimit(perSecond, this->now));
+    }
+
+    /// Offers requests of one priority at a rate, and lets requests run for 50 ms, for a duration.
+    void offer(core::Duration duration, double perSecond, int priority = 2, bool isNested = false)
+    {
+        const auto end = this->now + duration;
+        for (double due = 0; this->now < end; this->now += 5ms) {
+            for (due += perSecond * 0.005; due >= 1; due -= 1) {
+                const auto request = requestOf(this->nextId++, priority, this->now, isNested);
+                this->priorities[core::value(request.entry)] = priority;
+                ++this->offered[priority];
+                this->record({this->queue.offer(request, this->now)});
+            }
+            this->advance();
+        }
+    }
+
+    /// Number of requests that started in the window before now.
+    [[nodiscard]] std::size_t startsWithin(core::Duration window) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(this->starts.begin(), this->starts.end(), [&](core::TimePoint start) { return start > this->now - window; }));
+    }
+
+    gate::SlotQueue queue;
+    core::TimePoint now = after(0s);
+    std::map<int, int> offered; // by priority
+    std::map<int, int> started; // by priority
+    int refused = 0;
+    core::Duration longestRetryAfter {};
+
+private:
+    void advance()
+    {
+        while (!this->running.empty() && this->running.front() <= this->now) {
+            this->running.pop_front();
+            this->record(this->queue.finish({false, 50ms, {}, 1s}, this->now));
+        }
+        this->record(this->queue.startWaiting(this->now));
+    }
+
+    void record(const std::vector<SlotDecision> &decisions)
+    {
+        for (const auto &decision : decisions) {
+            if (decision.kind == SlotDecision::Kind::Run) {
+                this->starts.push_back(this->now);
+                this->running.push_back(this->now + 50ms);
+                ++this->started[this->priorities[core::value(decision.entry)]];
+            } else if (decision.kind == SlotDecision::Kind::Refuse) {
+                ++this->refused;
+                this->longestRetryAfter = std::max(this->longestRetryAfter, decision.retryAfter);
+            }
+        }
+    }
+
+    std::deque<core::TimePoint> starts;
+    std::deque<core::TimePoint> running; // ends of the running requests
+    std::map<std::uint64_t, int> priorities;
+    std::uint64_t nextId = 1;
+};
+} // namespace
+
+// Guards against an endpoint that receives more requests than the limit that it states (incident 0001).
+Test(gate, requests_start_within_the_rate_limit_of_the_endpoint)
+{
+    tests::Story story;
+    LimitedEndpoint endpoint;
+    story.section("before the endpoint states a limit", [&] {
+        endpoint.offer(4s, 300);
+        story.check(endpoint.startsWithin(4s) >= 1190, "all requests to start");
+    });
+    story.section("the endpoint states a limit below the demand", [&] {
+        endpoint.setLimit(75);
+        endpoint.offer(4s, 300);
+        story.check(endpoint.startsWithin(4s) <= 4 * 75 + 10, "no more requests than the limit allows");
+        story.check(endpoint.startsWithin(4s) >= 4 * 75 - 10, "the limit to be used up");
+        story.check(endpoint.refused > 800, "the excess to be refused");
+        story.check(endpoint.longestRetryAfter <= 2s, "retry times that clients honour");
+    });
+    story.section("requests wait when the limit falls", [&] {
+        endpoint.setLimit(5);
+        endpoint.offer(4s, 300);
+        story.check(endpoint.startsWithin(4s) <= 4 * 5 + 2, "waiting requests to start at the lower rate");
+    });
+    story.section("the limit is a fraction", [&] {
+        endpoint.setLimit(0.5);
+        endpoint.offer(20s, 50);
+        story.check(endpoint.startsWithin(20s) <= 11 && endpoint.startsWithin(20s) >= 9, "one request every two seconds");
+    });
+    story.section("the limit is 0", [&] {
+        endpoint.setLimit(0);
+        endpoint.offer(20s, 50);
+        story.check(endpoint.startsWithin(20s) <= 5 && endpoint.startsWithin(20s) >= 3,
+                    "one request every five seconds, to learn of its end");
+    });
+    story.section("the limit ends", [&] {
+        endpoint.setLimit(std::nullopt);
+        endpoint.offer(4s, 300);
+        story.check(endpoint.startsWithin(4s) >= 1190, "all requests to start again");
+    });
+    story.section("the limit returns", [&] {
+        endpoint.setLimit(75);
+        endpoint.offer(4s, 300);
+        story.check(endpoint.startsWithin(4s) <= 4 * 75 + 10, "no more requests than the limit allows");
+    });
+}
+
+// Guards against starvation of important requests at an endpoint whose rate limit is below the demand.
+Test(gate, important_requests_use_the_rate_limit_first)
+{
+    tests::Story story;
+    LimitedEndpoint endpoint;
+    endpoint.setLimit(100);
+    for (int step = 0; step < 1000; ++step) {
+        endpoint.offer(5ms, 200, 0);
+        endpoint.offer(5ms, 800, 2);
+    }
+    story.check(endpoint.started[0] * 10 > endpoint.offered[0] * 9, "nine in ten of the requests of the highest priority to start");
+    story.check(endpoint.started[2] * 10 < endpoint.offered[2], "less than a tenth of the others to start");
+}
+
+// Guards against a rate limit that is exceeded in some order of arrivals, statements and ends (incident 0001).
+Test(gate, no_window_of_four_seconds_exceeds_the_rate_limit)
+{
+    tests::holds("starts in any 4 s stay within one and a half times the limit and five requests", [] {
+        gate::SlotQueue queue;
+        queue.setSlots(*rc::gen::inRange(1, 100));
+        auto now = after(0s);
+        std::deque<core::TimePoint> starts;
+        std::deque<std::pair<core::TimePoint, double>> limits; // limits in effect since the times given
+        std::uint64_t id = 1;
+        int running = 0;
+        const auto record = [&](const std::vector<SlotDecision> &decisions) {
+            for (const auto &decision : decisions) {
+                if (decision.kind == SlotDecision::Kind::Run) {
+                    starts.push_back(now);
+                    ++running;
+                }
+            }
+        };
+        const auto allowed = [&] {
+            double requests = 0;
+            const auto begin = now - 4s;
+            for (std::size_t at = 0; at < limits.size(); ++at) {
+                const auto from = std::max(begin, limits[at].first);
+                const auto to = at + 1 < limits.size() ? std::max(from, limits[at + 1].first) : std::max(from, now);
+                requests += core::toSeconds(to - from) * limits[at].second;
+            }
+            return requests;
+        };
+        for (int step = 0; step < 300; ++step) {
+            now += core::Duration(*rc::gen::inRange(0, 100000));
+            if (step % 50 == 0) {
+                const double limit = *rc::gen::inRange(0, 1000) / 10.0;
+                limits.emplace_back(now, limit);
+                record(queue.setRateLimit(limit, now));
+            }
+            const auto arrivals = *rc::gen::inRange(0, 20);
+            for (int at = 0; at < arrivals; ++at) {
+                record({queue.offer(requestOf(id++, *rc::gen::inRange(0, 3), now, *rc::gen::arbitrary<bool>()), now)});
+            }
+            if (running > 0 && *rc::gen::arbitrary<bool>()) {
+                --running;
+                record(queue.finish({false, 50ms, {}, 1s}, now));
+            }
+            record(queue.startWaiting(now));
+            const auto inWindow = std::count_if(starts.begin(), starts.end(), [&](core::TimePoint start) { return start > now - 4s; });
+            RC_ASSERT(static_cast<double>(inWindow) <= 1.5 * allowed() + 5);
+        }
+    });
+}
+
+// Guards against a limit that ends or rises because of a response that the endpoint made before it stated the limit.
+Test(gate, late_responses_do_not_end_a_stated_limit)
+{
+    tests::Story story;
+    gate::StatedLimit limit;
+    story.check(limit.applyResponse(50, after(1s), after(2s)), "the first statement to change the limit");
+    story.section("a response to a request that was sent before the statement arrived", [&] {
+        story.check(!limit.applyResponse(std::nullopt, after(1500ms), after(2100ms)), "a response without the limit to be ignored");
+        story.check(!limit.applyResponse(80, after(1500ms), after(2100ms)), "a larger limit to be ignored");
+        story.check(limit.applyResponse(40, after(1500ms), after(2100ms)), "a smaller limit to take effect");
+    });
+    story.section("a response to a request that was sent afterwards", [&] {
+        story.check(limit.applyResponse(80, after(2200ms), after(2300ms)), "a larger limit to take effect");
+        story.equal(limit.value(), std::optional(80.0), "the larger limit");
+        story.check(limit.applyResponse(std::nullopt, after(2400ms), after(2500ms)), "a response without the limit to end it");
+        story.check(!limit.value(), "no limit");
+    });
+    story.section("no response arrives", [&] {
+        static_cast<void>(limit.applyResponse(0.5, after(3s), after(3s)));
+        story.equal(limit.value(), std::optional(0.5), "the limit to last");
+    });
+}
+
+// Guards against a node that forgets the limit of its endpoint when it restarts, while other nodes still know it.
+Test(gate, limits_known_to_other_nodes_count_until_the_endpoint_responds)
+{
+    tests::Story story;
+    gate::StatedLimit limit;
+    story.check(limit.applyHint(60), "the first hint to set the limit");
+    story.check(!limit.applyHint(90), "a larger hint to be ignored");
+    story.check(limit.applyHint(40), "a smaller hint to take effect");
+    story.section("the endpoint responds without a limit", [&] {
+        story.check(limit.applyResponse(std::nullopt, after(1s), after(2s)), "the hint to end");
+        story.check(!limit.applyHint(40), "later hints to be ignored, since other nodes may not know of the end yet");
+    });
+    story.section("another incarnation starts", [&] {
+        static_cast<void>(limit.applyResponse(10, after(3s), after(4s)));
+        limit.reset();
+        story.check(!limit.value(), "no limit");
+        story.check(limit.applyHint(70), "hints to count again");
+    });
+}
--- a/tests/support/meshtestbed.h
+++ b/tests/support/meshtestbed.h
@@ -131,6 +131,7 @@
             settings.store = this->store->address();
             settings.heartbeatInterval = std::chrono::seconds(2);
             settings.grace = std::chrono::seconds(6);
+            settings.limitProbeInterval = std::chrono::seconds(5);
         });
         this->start(name);
     }
