Send nothing more to an endpoint whose responses state that it is leaving

Cause: only heartbeats and deregistrations closed the admission of an endpoint. A response that states the departure before the heartbeat arrives, or while the store is away and the endpoint's node restarts, was passed on and changed nothing.

Evidence: without the change the new test of the mesh module fails, "no request to reach the leaving endpoint"; the picker's part fails its test of the routing module.

Why this works: the node of the endpoint treats the statement as a draining heartbeat: it refuses new and queued attempts, and the record in the store says so. Its reports tell other nodes, which never choose that incarnation again, so that a node that has passed on the statement keeps to it even if the endpoint's node has lost its state.

--- a/src/discovery/localendpoint.cpp
+++ b/src/discovery/localendpoint.cpp
@@ -92,6 +92,18 @@
     return UpdateResult::Changed;
 }
 
+UpdateResult LocalEndpoint::applyLeaving(const std::string &id, std::int64_t incarnation) noexcept
+{
+    if (!this->known || this->known->id != id || this->known->incarnation != incarnation) {
+        return UpdateResult::Stale;
+    }
+    if (isFinal(this->known->state)) {
+        return UpdateResult::Unchanged;
+    }
+    this->known->state = EndpointState::Draining;
+    return UpdateResult::Changed;
+}
+
 bool LocalEndpoint::mergeStoredRecord(const std::optional<EndpointRecord> &stored, core::TimePoint now)
 {
     this->isStoreRead = true;
--- a/src/discovery/localendpoint.h
+++ b/src/discovery/localendpoint.h
@@ -40,6 +40,9 @@
     /// @param wallMs current Unix milliseconds; used as the incarnation if neither the deregistration nor a heartbeat has given one
     [[nodiscard]] UpdateResult applyDeregistration(const Deregistration &deregistration, core::TimePoint now, std::int64_t wallMs);
 
+    /// Applies a response of the endpoint that states that it is leaving. It is final for the incarnation, as a draining heartbeat is.
+    [[nodiscard]] UpdateResult applyLeaving(const std::string &id, std::int64_t incarnation) noexcept;
+
     /// Merges the record that an earlier process of this node wrote to the store.
     /// @param stored the stored record, or nothing if the store has none
     /// @returns whether the record in memory is newer and must be written to the store
--- a/src/mesh/inboundproxy.cpp
+++ b/src/mesh/inboundproxy.cpp
@@ -188,6 +188,9 @@
         if (reply.requestId != this->requestId || !isCurrent) {
             return;
         }
+        if (reply.isLeaving) {
+            this->proxy.registrar.handleLeavingResponse(this->head.endpointId, this->incarnation);
+        }
         if (reply.isRateLimitInvalid) {
             if (const auto omittedLines = context.sampler.tryAcquire("endpoint.limit_invalid", core::steadyNow())) {
                 core::log(core::LogLevel::Warning, "endpoint.limit_invalid",
--- a/src/mesh/localregistrar.cpp
+++ b/src/mesh/localregistrar.cpp
@@ -138,6 +138,17 @@
     this->acknowledgeAfterWrite(std::move(respond));
 }
 
+void LocalRegistrar::handleLeavingResponse(const std::string &endpointId, std::int64_t incarnation)
+{
+    auto &local = this->context.board.local.write();
+    if (local.applyLeaving(endpointId, incarnation) != UpdateResult::Changed) {
+        return;
+    }
+    this->logState("response states departure");
+    this->writeChange();
+    this->onClosed();
+}
+
 void LocalRegistrar::acknowledgeAfterWrite(StatusCallback respond)
 {
     if (this->writtenChange >= this->latestChange) {
--- a/src/mesh/localregistrar.h
+++ b/src/mesh/localregistrar.h
@@ -32,6 +32,9 @@
     /// @param respond called once with an HTTP status
     void handleDeparture(const discovery::Deregistration &deregistration, StatusCallback respond);
 
+    /// Processes a response of the endpoint that states that it is leaving.
+    void handleLeavingResponse(const std::string &endpointId, std::int64_t incarnation);
+
     /// Name of the collection that holds the records of all endpoints.
     static constexpr const char *collection = "figpulley-endpoints";
 
--- a/src/routing/endpointpicker.cpp
+++ b/src/routing/endpointpicker.cpp
@@ -120,7 +120,7 @@
         const auto &node = endpoint->record.node;
         const bool isExcluded =
             request.tried != nullptr && std::find(request.tried->begin(), request.tried->end(), node) != request.tried->end();
-        if (isExcluded) {
+        if (isExcluded || this->isLeaving(*endpoint)) {
             continue;
         }
         double cost = this->occupancy(*endpoint, request.now) + core::uniform(random) * tieBreak;
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -67,6 +67,19 @@
                     "the deregistration to change the record");
         story.equal(local.record()->state, EndpointState::Gone, "the endpoint to be gone");
     });
+    story.section("an endpoint that states its departure in a response", [&] {
+        auto local = localEndpoint();
+        static_cast<void>(local.mergeStoredRecord(std::nullopt, after(0s)));
+        static_cast<void>(local.applyHeartbeat(heartbeat(100, 1), after(1s)));
+        story.equal(local.applyLeaving("i-1", 99), UpdateResult::Stale, "a late response of an earlier incarnation to change nothing");
+        story.equal(local.applyLeaving("i-1", 100), UpdateResult::Changed, "the response to change the record");
+        story.check(!local.acceptsRequests(), "no requests to be accepted");
+        story.equal(local.applyLeaving("i-1", 100), UpdateResult::Unchanged, "the next response to change nothing");
+        static_cast<void>(local.applyHeartbeat(heartbeat(100, 2), after(2s)));
+        story.check(!local.acceptsRequests(), "no requests to be accepted after a ready heartbeat of the same incarnation");
+        static_cast<void>(local.applyHeartbeat(heartbeat(200, 1), after(3s)));
+        story.check(local.acceptsRequests(), "requests to be accepted for the next incarnation");
+    });
     story.section("a delayed heartbeat", [&] {
         auto local = localEndpoint();
         static_cast<void>(local.mergeStoredRecord(std::nullopt, after(0s)));
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -3,6 +3,7 @@
 #include "support/story.h"
 
 #include "mesh/attempthead.h"
+#include "mesh/conditionheader.h"
 
 #include <fstream>
 #include <sstream>
@@ -87,6 +88,128 @@
     });
 }
 
+// Guards against an endpoint that receives more requests than the limit that it states, summed over all nodes (incident 0001).
+Test(mesh, endpoint_with_a_rate_limit_gets_no_more_requests_from_all_nodes)
+{
+    tests::Story story;
+    tests::MeshTestbed bed;
+    bed.publish();
+    for (const auto *name : {"m1", "m2"}) {
+        bed.add(name, "motivi");
+        bed.heartbeat(name, 1);
+    }
+    bed.add("c1", "commesse");
+    bed.add("c2", "commesse");
+    bed.waitForReadyEndpoints("c1", 2);
+    bed.waitForReadyEndpoints("c2", 2);
+    const auto sendFromAllNodes = [&](int rounds) {
+        int served = 0;
+        for (int at = 0; at < rounds; ++at) {
+            for (const auto *name : {"c1", "c2", "m1", "m2"}) {
+                served += bed.request(name, at % 2 == 0 ? "/look/1" : "/order/1", at % 2 == 0 ? "GET" : "POST").head.status == 200 ? 1 : 0;
+            }
+        }
+        return served;
+    };
+    // Upper bound of the requests in a period that a limit allows.
+    const auto allowed = [](double limit, core::TimePoint since) { return 1.5 * limit * core::toSeconds(core::steadyNow() - since) + 5; };
+    story.section("one endpoint states a limit", [&] {
+        bed.stateCondition("m1", 10);
+        static_cast<void>(sendFromAllNodes(5));
+        const auto since = core::steadyNow();
+        const auto before = bed.requestsAt("m1");
+        story.equal(sendFromAllNodes(100), 400, "all requests to be served, since the other endpoint has room");
+        story.check(bed.requestsAt("m1") - before <= allowed(10, since), "no more requests at the endpoint than its limit allows");
+    });
+    story.section("both endpoints state limits, which are fractions", [&] {
+        bed.stateCondition("m1", 0.5);
+        bed.stateCondition("m2", 0.25);
+        static_cast<void>(sendFromAllNodes(5));
+        const auto since = core::steadyNow();
+        const auto first = bed.requestsAt("m1");
+        const auto second = bed.requestsAt("m2");
+        static_cast<void>(sendFromAllNodes(20));
+        story.check(bed.requestsAt("m1") - first <= allowed(0.5, since), "no more requests at the first endpoint than its limit allows");
+        story.check(bed.requestsAt("m2") - second <= allowed(0.25, since), "no more requests at the second endpoint than its limit allows");
+        const auto answer = bed.request("c1", "/order/1", "POST");
+        story.equal(answer.head.status, 503, "a request that exceeds both limits to be refused");
+        story.equal(header(answer, "Figpulley-Ran"), std::string("no"), "the refusal to state that the request has not run");
+        story.check(!header(answer, "Retry-After").empty(), "the refusal to state when to retry");
+    });
+    story.section("the node of an endpoint restarts", [&] {
+        bed.kill("m1");
+        bed.start("m1");
+        bed.heartbeat("m1", 2);
+        bed.waitForReadyEndpoints("c1", 2);
+        const auto before = bed.requestsAt("m1");
+        static_cast<void>(bed.request("c1", "/look/1"));
+        static_cast<void>(bed.request("c1", "/look/1"));
+        story.equal(bed.requestsAt("m1"), before, "the limit that another node knows to count before the endpoint has responded");
+    });
+    story.section("the limits end", [&] {
+        bed.stateCondition("m1", std::nullopt);
+        bed.stateCondition("m2", std::nullopt);
+        for (int at = 0; at < 60 && sendFromAllNodes(1) < 4; ++at) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        }
+        story.equal(sendFromAllNodes(20), 80, "all requests to be served again");
+    });
+}
+
+// Guards against a request that reaches an endpoint from a node that has passed on the endpoint's statement that it is leaving.
+Test(mesh, endpoint_that_states_its_departure_gets_no_requests)
+{
+    tests::Story story;
+    tests::MeshTestbed bed;
+    bed.publish();
+    for (const auto *name : {"m1", "m2"}) {
+        bed.add(name, "motivi");
+        bed.heartbeat(name, 1);
+    }
+    bed.add("c1", "commesse");
+    bed.waitForReadyEndpoints("c1", 2);
+    bed.onLoop([&] { bed.store->fault = tests::MetadataStore::Fault::Busy; });
+    bed.stateCondition("m1", std::nullopt, true);
+    for (int at = 0; at < 100 && bed.requestsAt("m1") == 0; ++at) {
+        story.equal(bed.request("c1", "/look/1").head.status, 200, "the request to be served");
+    }
+    const auto before = bed.requestsAt("m1");
+    story.equal(before, 1, "one response to state the departure");
+    story.section("the store is unavailable", [&] {
+        for (int at = 0; at < 20; ++at) {
+            story.equal(bed.request("c1", "/look/1").head.status, 200, "the other endpoint to serve the request");
+        }
+        story.equal(bed.requestsAt("m1"), before, "no request to reach the leaving endpoint");
+    });
+    story.section("the node of the leaving endpoint restarts and receives heartbeats that do not tell of the departure", [&] {
+        bed.kill("m1");
+        bed.start("m1");
+        bed.heartbeat("m1", 2);
+        bed.heartbeat("m1", 3);
+        std::this_thread::sleep_for(std::chrono::milliseconds(1200)); // longer than nodes that refuse as leaving are avoided
+        for (int at = 0; at < 20; ++at) {
+            story.equal(bed.request("c1", "/look/1").head.status, 200, "the other endpoint to serve the request");
+        }
+        story.equal(bed.requestsAt("m1"), before, "no request from the node that has passed on the departure");
+    });
+    story.section("the next incarnation starts", [&] {
+        bed.onLoop([&] { bed.store->fault = tests::MetadataStore::Fault::None; });
+        bed.stateCondition("m1", std::nullopt);
+        bed.heartbeat("m1", 1, "ready", 200);
+        bed.waitForIncarnation("c1", "m1", 200);
+        bed.heartbeat("m2", 2, "draining");
+        bed.waitForReadyEndpoints("c1", 1);
+        story.equal(bed.request("c1", "/look/1").head.status, 200, "the request to be served");
+        story.check(bed.requestsAt("m1") > before, "the new incarnation to get requests");
+    });
+    story.section("the endpoint states its departure while the store is available", [&] {
+        bed.stateCondition("m1", std::nullopt, true);
+        static_cast<void>(bed.request("c1", "/look/1"));
+        bed.waitForReadyEndpoints("c1", 0);
+        story.equal(bed.request("c1", "/look/1").head.status, 503, "a request without any endpoint to be refused as not run");
+    });
+}
+
 Test(mesh, non_idempotent_request_is_sent_at_most_once)
 {
     tests::Story story;
@@ -330,6 +453,24 @@
     });
 }
 
+Test(mesh, endpoint_condition_survives_encoding_and_rejects_truncation)
+{
+    tests::holds("a condition is read back unchanged, and no part of it is read as another one", [] {
+        routing::EndpointCondition condition;
+        condition.endpointId = "i-" + *rc::gen::string<std::string>();
+        condition.incarnation = *rc::gen::arbitrary<std::int64_t>();
+        if (*rc::gen::arbitrary<bool>()) {
+            condition.rateLimit = *rc::gen::inRange(0, 1000000) / 64.0;
+        }
+        condition.utilization = *rc::gen::inRange(0, 256) / 64.0;
+        condition.availableIn = core::Duration(*rc::gen::inRange(0, 10000000));
+        condition.isLeaving = *rc::gen::arbitrary<bool>();
+        const auto text = mesh::encode(condition);
+        RC_ASSERT(mesh::decodeEndpointCondition(text) == condition);
+        RC_ASSERT(!mesh::decodeEndpointCondition(text.substr(0, *rc::gen::inRange<std::size_t>(0, text.size()))));
+    });
+}
+
 Test(mesh, invalid_settings_are_reported)
 {
     tests::Story story;
@@ -345,6 +486,12 @@
         story.check(settings.has_value() && problems.empty(), "no problems");
         story.equal(settings->entrance.port, 7001, "the port of the entrance to be read");
     });
+    story.section("a probe interval that is too short", [&] {
+        auto text = example;
+        text.insert(text.find("\"retry_ratio\""), "\"limit_probe_interval_s\": 0.1, ");
+        text::Problems problems;
+        story.check(!mesh::readMeshSettings("mesh.jsonc", text, problems), "the settings to be rejected");
+    });
     story.section("a misspelled key", [&] {
         text::Problems problems;
         auto broken = example;
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -137,6 +137,56 @@
     });
 }
 
+// Guards against requests that go to endpoints without allowance while others have room, and against attempts at leaving endpoints.
+Test(routing, conditions_of_endpoints_decide_their_choice)
+{
+    tests::Story story;
+    core::Random random(1);
+    discovery::Directory directory;
+    const auto now = after(0s);
+    const auto own = endpointOf("10.0.0.1:1", "motivi", "caltagirone");
+    directory.put(own, 1, now);
+    directory.put(endpointOf("10.0.0.2:1", "motivi", "mineo"), 2, now);
+    const auto &known = *directory.find("10.0.0.1:1");
+    const auto condition = [&](std::optional<double> limit, double utilization, core::Duration availableIn, bool isLeaving) {
+        return routing::EndpointCondition {own.id, own.incarnation, limit, utilization, availableIn, isLeaving};
+    };
+    story.section("the limit of the endpoint in the caller's zone is used up", [&] {
+        routing::EndpointPicker picker;
+        story.check(picker.recordCondition("10.0.0.1:1", condition(10, 1, 0s, false), now), "the limit to be new");
+        story.check(!picker.recordCondition("10.0.0.1:1", condition(10, 1.2, 0s, false), now), "the same limit to change nothing");
+        story.equal(pickOnce(picker, directory, now, random), std::string("10.0.0.2:1"), "the endpoint that has room");
+        story.equal(picker.knownLimit(known), std::optional(10.0), "the limit to be known");
+        story.equal(pickOnce(picker, directory, now + 2s, random), std::string("10.0.0.1:1"), "the endpoint once the report is outdated");
+    });
+    story.section("a small limit allows the next request after some time", [&] {
+        routing::EndpointPicker picker;
+        picker.recordCondition("10.0.0.1:1", condition(0.3, 0, 3s, false), now);
+        story.equal(pickOnce(picker, directory, now + 2900ms, random), std::string("10.0.0.2:1"), "the endpoint that has room");
+        story.equal(pickOnce(picker, directory, now + 3100ms, random), std::string("10.0.0.1:1"), "the endpoint when the time is over");
+    });
+    story.section("a response states no limit any more", [&] {
+        routing::EndpointPicker picker;
+        picker.recordCondition("10.0.0.1:1", condition(10, 4, 1s, false), now);
+        story.check(picker.recordCondition("10.0.0.1:1", std::nullopt, now), "the end of the limit to be a change");
+        story.equal(pickOnce(picker, directory, now, random), std::string("10.0.0.1:1"), "the endpoint in the caller's zone");
+    });
+    story.section("an endpoint is leaving", [&] {
+        routing::EndpointPicker picker;
+        picker.recordCondition("10.0.0.1:1", condition(std::nullopt, 0, 0s, true), now);
+        picker.recordCondition("10.0.0.1:1", std::nullopt, now);
+        picker.recordCondition("10.0.0.1:1", condition(5, 0, 0s, false), now);
+        story.equal(pickOnce(picker, directory, now + 1h, random), std::string("10.0.0.2:1"), "another endpoint at any later time");
+        story.equal(pickOnce(picker, directory, now + 1h, random, {"10.0.0.2:1"}), std::string("none"),
+                    "no endpoint if all others are excluded");
+        auto next = own;
+        next.incarnation += 1;
+        directory.put(next, 3, now);
+        story.equal(pickOnce(picker, directory, now + 1h, random), std::string("10.0.0.1:1"), "the next incarnation");
+        story.check(!picker.knownLimit(*directory.find("10.0.0.1:1")), "no limit of the next incarnation to be known");
+    });
+}
+
 Test(routing, retries_stay_within_the_budget_of_the_node)
 {
     tests::Story story;
--- a/tests/support/meshtestbed.h
+++ b/tests/support/meshtestbed.h
@@ -111,7 +111,8 @@
     }
 
     /// Adds a VM with an endpoint of a service and starts its node.
-    void add(const std::string &name, const std::string &service, RequestHandler handler = respondOk)
+    /// @param handler handles the requests at the endpoint; by default it responds with 200
+    void add(const std::string &name, const std::string &service, RequestHandler handler = nullptr)
     {
         this->thread.call([&] {
             auto &vm = this->vms[name];
@@ -119,8 +120,13 @@
             vm.service = service;
             vm.endpoint = std::make_unique<net::HttpServer>(this->thread.loop(), net::Address {ip, 0},
                                                             [this, name, handler](const std::shared_ptr<net::HttpExchange> &exchange) {
-                                                                ++this->vms.at(name).requests;
-                                                                handler(exchange);
+                                                                auto &receiver = this->vms.at(name);
+                                                                ++receiver.requests;
+                                                                if (handler) {
+                                                                    handler(exchange);
+                                                                } else {
+                                                                    respondOk(exchange, receiver.statements);
+                                                                }
                                                             });
             auto &settings = vm.settings;
             settings.name = name;
@@ -136,6 +142,22 @@
         this->start(name);
     }
 
+    /// Sets what a VM's endpoint states about itself in its responses, if it has the default handler.
+    /// @param limit requests per second; nothing for no limit
+    void stateCondition(const std::string &name, std::optional<double> limit, bool isLeaving = false)
+    {
+        this->thread.call([&] {
+            auto &vm = this->vms.at(name);
+            vm.statements.clear();
+            if (limit) {
+                vm.statements.push_back({std::string(platform::names::rateLimit), fmt::format("{}", *limit)});
+            }
+            if (isLeaving) {
+                vm.statements.push_back({std::string(platform::names::leaving), std::string(platform::names::leavingValue)});
+            }
+        });
+    }
+
     /// Changes the address of a VM's endpoint; it takes effect at the next start of the VM's node.
     void useEndpoint(const std::string &name, const net::Address &address)
     {
@@ -230,6 +252,15 @@
         });
     }
 
+    /// Waits until a node knows an incarnation of the endpoint on a VM.
+    void waitForIncarnation(const std::string &name, const std::string &vm, std::int64_t incarnation)
+    {
+        this->waitUntil([&, incarnation] {
+            const auto *known = this->vms.at(name).node->board().directory.read().find(this->vms.at(vm).settings.ingress.toString());
+            return known != nullptr && known->record.incarnation == incarnation;
+        });
+    }
+
     /// @returns the number of requests that a VM's endpoint has received
     [[nodiscard]] int requestsAt(const std::string &name)
     {
@@ -243,11 +274,12 @@
     }
 
     /// Responds with 200 and echoes the headers that the node adds, as a correct endpoint does.
-    static void respondOk(const std::shared_ptr<net::HttpExchange> &exchange)
+    static void respondOk(const std::shared_ptr<net::HttpExchange> &exchange, const net::Headers &statements = {})
     {
         const auto &headers = exchange->request().headers;
-        exchange->respond({200,
-                           {{"X-Request-Id", std::string(net::findHeader(headers, "X-Request-Id"))}, {"X-Server-Stamp", "stamp"}},
+        net::Headers own {{"X-Request-Id", std::string(net::findHeader(headers, "X-Request-Id"))}, {"X-Server-Stamp", "stamp"}};
+        own.insert(own.end(), statements.begin(), statements.end());
+        exchange->respond({200, std::move(own),
                            fmt::format("expect={} caller={} host={}", net::findHeader(headers, "X-Expect-Instance"),
                                        net::findHeader(headers, "X-Caller-Service"), net::findHeader(headers, "Host"))});
     }
@@ -263,6 +295,7 @@
         std::unique_ptr<net::HttpServer> endpoint;
         std::unique_ptr<platform::PlatformStore> platformStore;
         std::unique_ptr<mesh::MeshNode> node;
+        net::Headers statements; // headers in which the endpoint states its limit and its departure
         int requests = 0;
     };
 
