Do not crash on an empty chunked body whose last chunk arrives alone

Callers lost all open requests of a VM: its node aborted when a client or an endpoint sent an empty chunked body in such pieces that "0 CR LF", or one byte more, was read without the end of the trailer.

Cause: Boost.Beast's parser asserts that it gets at least five bytes when it is called again after the last chunk's line. Both connection classes called it again at once, or with every further byte.

Why this works: after the parser has asked for more, it is called again only with five bytes or more. No rest of a message is shorter while bytes remain unparsed, so nothing waits for bytes that never come. A client's chunk header or trailer that never ends is rejected with 431 at the size of the largest head; it was buffered without a bound.

--- a/src/net/messageparser.h
+++ b/src/net/messageparser.h
@@ -13,6 +13,10 @@
 
 namespace figpulley::net
 {
+/// Fewest bytes with which the parser may be called again after it has asked for more: a shorter rest of a message than the last chunk and
+/// the end of the trailer does not exist, and the parser asserts that it gets as many.
+inline constexpr std::size_t minBytesAfterNeedMore = 5;
+
 /// Parses one HTTP message incrementally with the parser of Boost.Beast.
 template<bool isRequest>
 class MessageParser : public boost::beast::http::basic_parser<isRequest>
--- a/src/net/relayclient.cpp
+++ b/src/net/relayclient.cpp
@@ -141,6 +141,7 @@
     bool isHeadProcessed = false;
     bool isRejected = false; // the response does not belong to this request
     bool isPaused = false;
+    bool isMoreNeeded = false; // the parser cannot go on without further bytes
     bool isCloseDelimitedAllowed = false;
     bool isReusable = true;
     bool hasUnreadInput = false;
@@ -190,6 +191,7 @@
     this->isHeadProcessed = false;
     this->isRejected = false;
     this->isPaused = false;
+    this->isMoreNeeded = false;
     this->hasUnreadInput = false;
     this->startParser();
     this->output = formatRequestHead(request, this->address, target) + request.body;
@@ -298,16 +300,20 @@
     this->input.append(bytes);
     std::size_t parsedBytes = 0;
     while (parsedBytes < this->input.size()) {
+        if (this->isMoreNeeded && this->input.size() - parsedBytes < minBytesAfterNeedMore) {
+            break;
+        }
         boost::beast::error_code error;
         const auto parsedNow =
             this->parser->put(boost::asio::const_buffer(this->input.data() + parsedBytes, this->input.size() - parsedBytes), error);
         parsedBytes += parsedNow;
+        this->isMoreNeeded = error == boost::beast::http::error::need_more;
         if (this->isRejected) {
             this->isReusable = false;
             this->finish(ErrorKind::AnswerLost, "the response belongs to another request");
             return false;
         }
-        if (error && error != boost::beast::http::error::need_more) {
+        if (error && !this->isMoreNeeded) {
             this->isReusable = false;
             this->finish(this->isHeadProcessed ? ErrorKind::AnswerShort : ErrorKind::AnswerLost,
                          "the response is not valid HTTP: " + error.message());
@@ -327,7 +333,7 @@
             this->finish(ErrorKind::None, {});
             return false;
         }
-        if (parsedNow == 0) {
+        if (this->isMoreNeeded || parsedNow == 0) {
             break;
         }
     }
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -143,6 +143,7 @@
     bool isBodyQueued = false; // the output contains the end of the response body
     bool isKeepAlive = true; // the connection stays open after the response
     bool hasUnreadInput = false; // the socket became readable while the connection was not reading
+    bool isMoreNeeded = false; // the parser cannot go on without further bytes
     bool isContinueSent = false;
     bool isPeerClosed = false; // the peer has closed its end of the connection
     bool isClosed = false;
@@ -275,14 +276,15 @@
         this->parser->body_limit(this->server.limits.bodyBytes);
     }
     while (this->state == State::Reading && !this->isClosed && !this->input.empty()) {
+        if (this->isMoreNeeded && this->input.size() < minBytesAfterNeedMore) {
+            break;
+        }
         boost::beast::error_code error;
         const auto parsedBytes = this->parser->put(boost::asio::const_buffer(this->input.data(), this->input.size()), error);
         this->input.erase(0, parsedBytes);
-        if (error == boost::beast::http::error::need_more) {
-            if (parsedBytes == 0) {
-                break;
-            }
-            continue;
+        this->isMoreNeeded = error == boost::beast::http::error::need_more;
+        if (this->isMoreNeeded) {
+            break;
         }
         if (error) {
             const bool isHeaderTooLarge = error == boost::beast::http::error::header_limit;
@@ -302,6 +304,11 @@
             break;
         }
     }
+    // The parser limits the head, but neither a chunk's header nor the trailer.
+    if (this->state == State::Reading && !this->isClosed && this->input.size() > this->server.limits.headerBytes) {
+        this->reject(httpHeaderTooLarge);
+        return;
+    }
     const bool isWaitingForBody = !this->isClosed && this->state == State::Reading && this->parser->is_header_done();
     if (isWaitingForBody && !this->isContinueSent && equalsIgnoreCase(findHeader(this->parser->headers, "Expect"), "100-continue")) {
         this->isContinueSent = true;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -4,10 +4,12 @@
 #include "support/story.h"
 
 #include "net/loopthread.h"
+#include "net/relayclient.h"
 #include "net/relayserver.h"
 
 #include "net/httpserver.h"
 
+#include <future>
 #include <thread>
 
 using namespace figpulley;
@@ -213,3 +215,51 @@
     story.equal(send("/", 500), 200, "a body to be accepted after the response has released the buffered one");
     thread.call([&] { server.reset(); });
 }
+
+// Guards against a crash of the process by an empty chunked body whose last chunk arrives without the end of the trailer.
+Test(net, empty_chunked_bodies_may_arrive_in_any_pieces)
+{
+    tests::Story story;
+    net::LoopThread thread;
+    const std::vector<std::vector<std::string>> splits {
+        {"0\r\n", "\r\n"}, {"0\r\n\r", "\n"}, {"0\r\n", "\r", "\n"}, {"0", "\r", "\n", "\r", "\n"}};
+    story.section("a request", [&] {
+        std::unique_ptr<net::RelayServer> server;
+        thread.call([&] {
+            server = std::make_unique<net::RelayServer>(thread.loop(), net::Address {"127.0.0.1", 0},
+                                                        [](const std::shared_ptr<net::HttpExchange> &exchange) {
+                                                            exchange->respond({200, {}, "ok"});
+                                                        });
+        });
+        const auto address = thread.call([&] { return server->address(); });
+        for (const auto &split : splits) {
+            auto pieces = split;
+            pieces.front() = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + pieces.front();
+            story.check(tests::exchangeRaw(address, pieces).starts_with("HTTP/1.1 200"), "the request to be served");
+        }
+        const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+        story.check(tests::exchangeRaw(address, head + "5;" + std::string(200000, 'x')).starts_with("HTTP/1.1 431"),
+                    "a chunk header without end to be rejected");
+        thread.call([&] { server.reset(); });
+    });
+    story.section("a response", [&] {
+        for (const auto &split : splits) {
+            tests::RawServer raw(
+                [&](int, const std::string &) { return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + split.front(); });
+            raw.laterPieces.assign(split.begin() + 1, split.end());
+            std::promise<core::ErrorKind> ended;
+            std::unique_ptr<net::RelayClient> client;
+            thread.call([&] {
+                client = std::make_unique<net::RelayClient>(thread.loop());
+                net::ClientRequest request;
+                request.url = "http://" + raw.address().toString() + "/";
+                request.timeout = std::chrono::seconds(5);
+                net::ClientCallbacks callbacks;
+                callbacks.onDone = [&ended](const net::ClientResult &result) { ended.set_value(result.kind); };
+                client->send(request, std::move(callbacks));
+            });
+            story.equal(ended.get_future().get(), core::ErrorKind::None, "the response to be complete");
+            thread.call([&] { client.reset(); });
+        }
+    });
+}
--- a/tests/support/rawclient.h
+++ b/tests/support/rawclient.h
@@ -2,7 +2,10 @@
 
 #include "net/address.h"
 
+#include <chrono>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -12,9 +15,9 @@
 
 namespace figpulley::tests
 {
-/// Sends raw bytes over a new connection to the loopback address and returns the first piece of the response, or an empty string
-/// if the connection was closed or nothing arrived within 20 s.
-[[nodiscard]] inline std::string exchangeRaw(const net::Address &to, const std::string &bytes)
+/// Sends pieces of raw bytes over a new connection to the loopback address, with pauses so that the server reads each by itself.
+/// @returns the first piece of the response, or an empty string if the connection was closed or nothing arrived within 20 s
+[[nodiscard]] inline std::string exchangeRaw(const net::Address &to, const std::vector<std::string> &pieces)
 {
     constexpr int maxWaitMs = 20000;
     const int connection = socket(AF_INET, SOCK_STREAM, 0);
@@ -24,7 +27,12 @@
     target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     std::string response;
     if (connect(connection, reinterpret_cast<sockaddr *>(&target), sizeof target) == 0) {
-        static_cast<void>(!send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+        for (const auto &piece : pieces) {
+            static_cast<void>(!send(connection, piece.data(), piece.size(), MSG_NOSIGNAL));
+            if (&piece != &pieces.back()) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            }
+        }
         pollfd ready {connection, POLLIN, 0};
         char buffer[4096];
         const auto size = poll(&ready, 1, maxWaitMs) > 0 ? read(connection, buffer, sizeof buffer) : 0;
@@ -33,4 +41,9 @@
     close(connection);
     return response;
 }
+
+[[nodiscard]] inline std::string exchangeRaw(const net::Address &to, const std::string &bytes)
+{
+    return exchangeRaw(to, std::vector<std::string> {bytes});
+}
 } // namespace figpulley::tests
--- a/tests/support/rawserver.h
+++ b/tests/support/rawserver.h
@@ -3,9 +3,12 @@
 #include "net/address.h"
 
 #include <atomic>
+#include <cerrno>
+#include <chrono>
 #include <functional>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -52,7 +55,15 @@
         return {"127.0.0.1", ntohs(local.sin_port)};
     }
 
+    /// Pieces that follow each response, with pauses so that the client reads each by itself. Must be set before the first request.
+    std::vector<std::string> laterPieces;
+
+    /// Bytes that follow each response without end, until the client closes the connection. Must be set before the first request.
+    std::string endlessPiece;
+
     std::atomic<int> requests {0};
+    std::atomic<std::size_t> endlessBytes {0}; ///< number of bytes sent after responses
+    std::atomic<bool> isClosedByClient {false}; ///< whether the client has closed a connection that received bytes without end
 
 private:
     void run()
@@ -90,12 +101,36 @@
             const bool isClosing = response.empty() || response.front() == '!';
             const auto sent = response.empty() ? response : response.substr(isClosing ? 1 : 0);
             static_cast<void>(!write(connection, sent.data(), sent.size()));
+            for (const auto &piece : this->laterPieces) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(20));
+                static_cast<void>(!write(connection, piece.data(), piece.size()));
+            }
+            if (!this->endlessPiece.empty()) {
+                this->sendWithoutEnd(connection);
+                return;
+            }
             if (isClosing) {
                 return;
             }
         }
     }
 
+    void sendWithoutEnd(int connection)
+    {
+        while (!this->isStopped) {
+            const auto sent = send(connection, this->endlessPiece.data(), this->endlessPiece.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+            if (sent > 0) {
+                this->endlessBytes += static_cast<std::size_t>(sent);
+            } else if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+                pollfd ready {connection, POLLOUT, 0};
+                poll(&ready, 1, 20);
+            } else {
+                this->isClosedByClient = true;
+                return;
+            }
+        }
+    }
+
     std::function<std::string(int, const std::string &)> onRequest;
     int listener;
     std::atomic<bool> isStopped {false};
