Soak: endpoints state limits and departures, and nodes are checked against them

Limits between 0 and 20 requests a second begin, change and end beside restarts and faults; departures are stated in responses alone. The check follows the stated rule: requests in any 4 s of nodes that have passed on the limit, and requests sent more than 2 s after a node has passed on a departure; a stopped or paused node is excused.

--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -30,6 +30,7 @@
 constexpr std::uint64_t addressesPerOctet = 250;
 
 const std::string serverStamp = "soak";
+const std::string endpointHeader = "X-Endpoint"; // name of the VM whose endpoint has made a response
 
 std::string responseBody(const std::string &id)
 {
@@ -105,7 +106,7 @@
     std::ofstream settings(fmt::format("{}/{}.jsonc", this->options.folder, vm->name));
     settings << fmt::format(
         R"({{"name":"{}","availability_zone":"{}","service":"{}","entrance":"{}","ingress":"{}","control":"{}","readiness":"{}","metrics":"{}",)"
-        R"("upstream":"{}","store":"{}","heartbeat_interval_s":0.5,"grace_s":{},"retry_ratio":0.2,"retry_slack":48,"retry_window_s":10}})",
+        R"("upstream":"{}","store":"{}","heartbeat_interval_s":0.5,"grace_s":{},"retry_ratio":0.2,"retry_slack":48,"retry_window_s":10,"limit_probe_interval_s":1.5}})",
         vm->name, number % 2 == 0 ? "mineo" : "vizzini", vm->service, vm->entrance.toString(), vm->ingress.toString(),
         vm->control.toString(), vm->readiness.toString(), vm->metrics.toString(), vm->endpointLink->address().toString(),
         vm->storeLink->address().toString(), gracePeriodS);
@@ -127,6 +128,38 @@
     ::close(log);
     vm.isPaused = false;
     vm.servedVersion = 0;
+    this->excuseNode(vm);
+}
+
+// What a node knows of the endpoints' statements ends with its process, and a paused node learns nothing new.
+void SoakRun::excuseNode(const Vm &vm)
+{
+    this->thread.call([&] {
+        for (const auto &other : this->vms) {
+            other->statements.excuse(vm.name);
+        }
+    });
+}
+
+void SoakRun::setRateLimit(Vm &vm, std::optional<double> perSecond)
+{
+    this->thread.call([&] {
+        vm.rateLimit = perSecond;
+        vm.statements.setLimit(perSecond, core::steadyNow());
+    });
+}
+
+void SoakRun::startNextIncarnation(Vm &vm)
+{
+    this->thread.call([&] {
+        vm.isDraining = false;
+        vm.isStatingDeparture = false;
+        vm.drainAcknowledgedAt = {};
+        vm.incarnation += 1000;
+        vm.sequence = 0;
+        vm.rateLimit.reset();
+        vm.statements.restart();
+    });
 }
 
 void SoakRun::stopProcess(Vm &vm, int signal)
@@ -188,13 +221,26 @@
 {
     const auto &request = exchange->request();
     const auto id = std::string(net::findHeader(request.headers, "X-Request-Id"));
-    net::Headers headers {{"X-Request-Id", id}, {"X-Server-Stamp", serverStamp}};
+    net::Headers headers {{"X-Request-Id", id}, {"X-Server-Stamp", serverStamp}, {endpointHeader, vm.name}};
+    if (vm.rateLimit) {
+        headers.push_back({"Server-Limit", fmt::format("{}", *vm.rateLimit)});
+    }
+    if (vm.isDraining || vm.isStatingDeparture) {
+        headers.push_back({"Server-Leaving", "1"});
+    }
     if (net::findHeader(request.headers, "X-Expect-Instance") != "i-" + vm.name) {
         exchange->respond({421, {{"X-Request-Id", id}, {"X-Not-Run", "1"}}, {}});
         return;
     }
+    if (const auto origin = this->origins.find(id); origin != this->origins.end()) {
+        const auto violation = vm.statements.recordArrival(origin->second.first, origin->second.second, core::steadyNow());
+        if (!violation.empty()) {
+            this->ledger.addViolation(fmt::format("{} received {} ({})", vm.name, violation, id));
+        }
+    }
     if (this->randomIntOnLoop(0, 99) < 3) {
-        exchange->respond({503, {{"X-Request-Id", id}, {"X-Not-Run", "1"}}, {}});
+        headers.push_back({"X-Not-Run", "1"});
+        exchange->respond({503, std::move(headers), {}});
         return;
     }
     this->ledger.recordRun(id, request.path);
@@ -244,12 +290,15 @@
     request.timeout = 4s;
     request.mayResend = false;
     this->ledger.recordSent(id, path, !isOrder);
+    this->origins[id] = {vm.name, core::steadyNow()};
     ++this->openRequests;
     const int pid = vm.pid;
     const bool wasFaultFree = this->isFaultFree;
     this->client->fetch(request, 1UL << 20U,
                         [this, number, id, &vm, pid, requestedVersion, isVersioned, wasFaultFree](const net::ClientResponse &answer) {
                             --this->openRequests;
+                            this->origins.erase(id);
+                            this->recordStatements(vm, pid, answer);
                             const auto status = answer.result.kind == core::ErrorKind::None ? answer.head.status : 0;
                             const bool isMatching =
                                 answer.body == responseBody(id) && net::findHeader(answer.head.headers, "X-Server-Stamp") == serverStamp;
@@ -271,6 +320,24 @@
                         });
 }
 
+// Runs on the event loop's thread. Records the statements of an endpoint in a response that a node has passed on.
+void SoakRun::recordStatements(const Vm &node, int pid, const net::ClientResponse &answer)
+{
+    const auto endpoint = net::findHeader(answer.head.headers, endpointHeader);
+    if (endpoint.empty() || pid != node.pid || node.isPaused) {
+        return;
+    }
+    const bool hasLimit = !net::findHeader(answer.head.headers, "Server-Limit").empty();
+    const bool isLeaving = !net::findHeader(answer.head.headers, "Server-Leaving").empty();
+    for (const auto &vm : this->vms) {
+        // A response that an earlier incarnation has made may arrive after the next one has started.
+        const bool isCurrent = vm->name == endpoint && (!isLeaving || vm->isDraining || vm->isStatingDeparture);
+        if (isCurrent) {
+            vm->statements.recordPassedOn(node.name, hasLimit, isLeaving, core::steadyNow());
+        }
+    }
+}
+
 void SoakRun::publish()
 {
     this->thread.call([this] {
@@ -284,6 +351,8 @@
 {
     for (const auto &vm : this->vms) {
         this->publish();
+        auto &limited = this->randomVm();
+        this->setRateLimit(limited, this->randomInt(0, 3) == 0 ? std::nullopt : std::optional(this->randomInt(0, 200) / 10.0));
         this->stopProcess(*vm, SIGTERM);
         if (this->randomInt(0, 1) == 0) {
             this->publish();
@@ -297,19 +366,14 @@
     auto &draining = *this->vms.front();
     this->thread.call([&] { draining.isDraining = true; });
     this->sleepMs(4000);
-    this->thread.call([&] {
-        draining.isDraining = false;
-        draining.drainAcknowledgedAt = {};
-        draining.incarnation += 1000;
-        draining.sequence = 0;
-    });
+    this->startNextIncarnation(draining);
 }
 
 void SoakRun::injectFault()
 {
     auto &vm = this->randomVm();
     const auto linkFault = static_cast<LinkFault>(this->randomInt(1, 4));
-    switch (this->randomInt(0, 6)) {
+    switch (this->randomInt(0, 8)) {
     case 0:
         this->recordEvent("kill " + vm.name);
         this->stopProcess(vm, SIGKILL);
@@ -322,6 +386,7 @@
         kill(vm.pid, SIGSTOP);
         vm.isPaused = true;
         this->sleepMs(this->randomInt(200, 2500));
+        this->excuseNode(vm);
         kill(vm.pid, SIGCONT);
         vm.isPaused = false;
         break;
@@ -339,6 +404,18 @@
         this->thread.call([&] { this->store->fault = fault; });
         break;
     }
+    case 6: {
+        const auto limit = this->randomInt(0, 3) == 0 ? std::nullopt : std::optional(this->randomInt(0, 200) / 10.0);
+        this->recordEvent(fmt::format("limit of {}: {}", vm.name, limit ? fmt::format("{}", *limit) : "none"));
+        this->setRateLimit(vm, limit);
+        break;
+    }
+    case 7:
+        this->recordEvent("departure stated by " + vm.name);
+        this->thread.call([&] { vm.isStatingDeparture = true; });
+        this->sleepMs(this->randomInt(500, 3500));
+        this->startNextIncarnation(vm);
+        break;
     case 5:
         this->recordEvent("discard store history and publish new version");
         this->thread.call([&] { this->store->discardHistory(); });
@@ -379,6 +456,9 @@
             vm->endpointLink->setFault(LinkFault::None);
         }
     });
+    for (const auto &vm : this->vms) {
+        this->setRateLimit(*vm, std::nullopt);
+    }
     this->publish();
     this->sleepMs(4000);
     this->ledger.restartCounts();
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -6,10 +6,13 @@
 #include "net/loopthread.h"
 #include "soak/faultproxy.h"
 #include "soak/ledger.h"
+#include "soak/statementcheck.h"
 #include "support/metadatastore.h"
 
 #include <atomic>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -58,6 +61,9 @@
         std::int64_t incarnation = 1000;
         bool isDraining = false;
         core::TimePoint drainAcknowledgedAt {}; ///< when the node acknowledged the heartbeat that reports draining
+        std::optional<double> rateLimit; ///< limit that the endpoint states, in requests per second
+        bool isStatingDeparture = false; ///< whether the responses state that the endpoint is leaving
+        StatementCheck statements;
         std::uint64_t servedVersion = 0; ///< highest configuration version of which the current process has served a route
     };
 
@@ -68,6 +74,7 @@
     void sendHeartbeat(Vm &vm);
     void serve(Vm &vm, const std::shared_ptr<net::HttpExchange> &exchange);
     void sendRequest(std::size_t clientNumber);
+    void recordStatements(const Vm &node, int pid, const net::ClientResponse &answer);
     void scheduleRequest(std::size_t clientNumber);
     void publish();
     void runPlannedOperations();
@@ -75,6 +82,9 @@
     void injectFault();
     void checkRecovery();
     void checkMemory();
+    void setRateLimit(Vm &vm, std::optional<double> perSecond);
+    void startNextIncarnation(Vm &vm);
+    void excuseNode(const Vm &vm);
     void reportTimingViolation(const std::string &text);
     Vm &randomVm();
     void recordEvent(const std::string &what);
@@ -91,6 +101,7 @@
     std::unique_ptr<tests::MetadataStore> store;
     std::vector<std::unique_ptr<Vm>> vms;
     std::vector<std::string> events; // log of the injected faults, printed after violations
+    std::map<std::string, std::pair<std::string, core::TimePoint>> origins; // node and time of each open request, by id
     std::uint64_t nextId = 1;
     std::atomic<int> version = 0;
     std::atomic<bool> isFaultFree {true};
