Notice the end of a connection that arrives together with its last bytes

Callers waited until their deadline, up to one second more, for a response that had ended: one that ends with its connection, or one whose sender cut it.

Cause: the event loop reports a connection edge-triggered, and a short read counts as the last one. If the end of the connection had been reported with the bytes before it, or while the exchange was paused, nothing reported it again. Also, a connection whose end was seen with a complete response was kept for the next request.

Why this works: once the peer's end was reported, RelayClient reads until the socket returns it, and does not keep the connection.

--- a/src/net/relayclient.cpp
+++ b/src/net/relayclient.cpp
@@ -150,6 +150,7 @@
     bool isMoreNeeded = false; // the parser cannot go on without further bytes
     bool isCloseDelimitedAllowed = false;
     bool isReusable = true;
+    bool isPeerClosed = false; // the peer has closed its side of the connection
     bool hasUnreadInput = false;
 };
 
@@ -222,6 +223,7 @@
 void RelayClient::Connection::onChange(const Readiness &readiness)
 {
     const auto keepAlive = this->shared_from_this();
+    this->isPeerClosed = this->isPeerClosed || readiness.isHungUp;
     if (!this->isBusy) {
         // Nothing is expected on an idle connection: either the server closed it, or it sent bytes that belong to no request.
         if (readiness.isReadable || readiness.isHungUp) {
@@ -270,7 +272,8 @@
 {
     bool isDrained = false;
     this->hasUnreadInput = false;
-    while (!isDrained && this->isBusy) {
+    // The end of the connection is reported once, perhaps together with bytes before it, so it is read without another report.
+    while ((!isDrained || this->isPeerClosed) && this->isBusy) {
         if (this->isPaused) {
             this->hasUnreadInput = true;
             return;
@@ -456,7 +459,7 @@
     const auto finishedCallbacks = std::exchange(this->callbacks, {});
     this->output.clear();
     this->input.clear();
-    if (kind == ErrorKind::None && this->isReusable && this->maxIdleTime.count() > 0) {
+    if (kind == ErrorKind::None && this->isReusable && !this->isPeerClosed && this->maxIdleTime.count() > 0) {
         this->client.storeIdle(keepAlive);
     } else {
         this->closeSocket();
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -263,3 +263,33 @@
         }
     });
 }
+
+// Guards against a response that ends with its connection and is noticed only at the timeout, because its last bytes and the end of the
+// connection are reported together.
+Test(net, end_of_a_connection_is_noticed_together_with_its_last_bytes)
+{
+    tests::Story story;
+    net::LoopThread thread;
+    tests::RawServer raw([&](int, const std::string &) {
+        // Both arrive while the event loop is busy.
+        thread.loop().post([] { std::this_thread::sleep_for(std::chrono::milliseconds(100)); });
+        std::this_thread::sleep_for(std::chrono::milliseconds(30));
+        return std::string("!HTTP/1.1 200 OK\r\n\r\nbody");
+    });
+    std::promise<core::ErrorKind> ended;
+    std::unique_ptr<net::RelayClient> client;
+    const auto sent = core::steadyNow();
+    thread.call([&] {
+        client = std::make_unique<net::RelayClient>(thread.loop());
+        net::ClientRequest request;
+        request.url = "http://" + raw.address().toString() + "/";
+        request.timeout = std::chrono::seconds(3);
+        request.mayBeCloseDelimited = true;
+        net::ClientCallbacks callbacks;
+        callbacks.onDone = [&ended](const net::ClientResult &result) { ended.set_value(result.kind); };
+        client->send(request, std::move(callbacks));
+    });
+    story.equal(ended.get_future().get(), core::ErrorKind::None, "the response to be complete");
+    story.check(core::steadyNow() - sent < std::chrono::seconds(2), "an end before the timeout");
+    thread.call([&] { client.reset(); });
+}
