Tidy the reading of endpoint conditions

A queue of more than an hour's worth of requests made the condition unreadable for other nodes; the time is now clamped. The limit is sent back with the incarnation that it was reported for. One accessor, knownCondition(), replaces three; formatRate() stands beside the condition's encoding.

--- a/src/mesh/attempthead.cpp
+++ b/src/mesh/attempthead.cpp
@@ -2,8 +2,6 @@
 
 #include "text/fieldlist.h"
 
-#include <fmt/format.h>
-
 namespace figpulley::mesh
 {
 namespace
@@ -35,11 +33,6 @@
 }
 } // namespace
 
-std::string formatRate(const std::optional<double> &perSecond)
-{
-    return perSecond ? fmt::format("{:.4g}", *perSecond) : "none";
-}
-
 std::string encode(const AttemptHead &head)
 {
     text::FieldWriter fields;
--- a/src/mesh/attempthead.h
+++ b/src/mesh/attempthead.h
@@ -42,9 +42,6 @@
     [[nodiscard]] bool operator==(const AttemptReport &) const = default;
 };
 
-/// Formats a rate limit for logs: requests per second, or "none".
-[[nodiscard]] std::string formatRate(const std::optional<double> &perSecond);
-
 [[nodiscard]] std::string encode(const AttemptHead &head);
 [[nodiscard]] std::string encode(const AttemptReport &report);
 
--- a/src/mesh/conditionheader.cpp
+++ b/src/mesh/conditionheader.cpp
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <cmath>
 
+#include <fmt/format.h>
+
 namespace figpulley::mesh
 {
 namespace
@@ -22,6 +24,11 @@
 }
 } // namespace
 
+std::string formatRate(const std::optional<double> &perSecond)
+{
+    return perSecond ? fmt::format("{:.4g}", *perSecond) : "none";
+}
+
 std::string encode(const routing::EndpointCondition &condition)
 {
     text::FieldWriter fields;
@@ -29,7 +36,7 @@
     fields.add(condition.incarnation);
     fields.add(condition.rateLimit ? toUnits(*condition.rateLimit) : noLimit);
     fields.add(toUnits(condition.utilization));
-    fields.add(condition.availableIn.count());
+    fields.add(std::min(condition.availableIn, maxDelay).count());
     fields.add(condition.isLeaving ? 1 : 0);
     return fields.take();
 }
--- a/src/mesh/conditionheader.h
+++ b/src/mesh/conditionheader.h
@@ -13,4 +13,7 @@
 
 /// Decodes a header of an untrusted peer. Returns nothing unless all fields are present and in range.
 [[nodiscard]] std::optional<routing::EndpointCondition> decodeEndpointCondition(std::string_view text);
+
+/// Formats a rate limit for logs: requests per second, or "none".
+[[nodiscard]] std::string formatRate(const std::optional<double> &perSecond);
 } // namespace figpulley::mesh
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "discovery/watchers.h"
+#include "mesh/conditionheader.h"
 #include "mesh/wireformat.h"
 
 #include <algorithm>
--- a/src/mesh/outboundproxy.cpp
+++ b/src/mesh/outboundproxy.cpp
@@ -204,9 +204,9 @@
             }
         }
         request.headers.push_back({std::string(node::callHeader), encode(head)});
-        if (const auto limit = this->proxy.picker.knownLimit(endpoint)) {
-            const routing::EndpointCondition hint {endpoint.record.id, endpoint.record.incarnation, limit, 0, {}, false};
-            request.headers.push_back({std::string(node::conditionHeader), encode(hint)});
+        // The node of the endpoint may have restarted and not know the limit yet.
+        if (const auto *condition = this->proxy.picker.knownCondition(endpoint); condition != nullptr && condition->rateLimit) {
+            request.headers.push_back({std::string(node::conditionHeader), encode(*condition)});
         }
         node::ResponseRelay::Callbacks callbacks;
         callbacks.onCommit = [self = this->shared_from_this()](const net::ClientResponseHead &) { return self->acceptStream(); };
--- a/src/routing/endpointpicker.cpp
+++ b/src/routing/endpointpicker.cpp
@@ -34,12 +34,6 @@
     return std::exp2(-static_cast<double>(age.count()) / static_cast<double>(halfLife.count()));
 }
 
-// Whether a condition concerns the endpoint's incarnation. The directory may show a departed incarnation for some time.
-bool concerns(const EndpointCondition &condition, const KnownEndpoint &endpoint)
-{
-    return condition.endpointId == endpoint.record.id && condition.incarnation >= endpoint.record.incarnation;
-}
-
 // Occupancy that follows from the use of the rate limit.
 double limitOccupancy(const EndpointCondition &condition, core::Duration age)
 {
@@ -69,28 +63,22 @@
         inUse = std::max(inUse, estimate * weight + inUse * (1 - weight));
     }
     const auto occupancy = inUse / slots;
-    const auto &condition = endpointStats.condition;
-    return condition.rateLimit && concerns(condition, endpoint)
-        ? std::max(occupancy, limitOccupancy(condition, now - endpointStats.conditionUpdated))
+    const auto *condition = this->knownCondition(endpoint);
+    return condition != nullptr && condition->rateLimit
+        ? std::max(occupancy, limitOccupancy(*condition, now - endpointStats.conditionUpdated))
         : occupancy;
 }
 
-const EndpointPicker::EndpointStats *EndpointPicker::findStats(const KnownEndpoint &endpoint) const
+// The directory may show a departed incarnation for some time, so a condition also counts for earlier incarnations.
+const EndpointCondition *EndpointPicker::knownCondition(const KnownEndpoint &endpoint) const
 {
     const auto found = this->stats.find(endpoint.record.node);
-    return found == this->stats.end() ? nullptr : &found->second;
-}
-
-std::optional<double> EndpointPicker::knownLimit(const KnownEndpoint &endpoint) const
-{
-    const auto *known = this->findStats(endpoint);
-    return known != nullptr && concerns(known->condition, endpoint) ? known->condition.rateLimit : std::nullopt;
-}
-
-bool EndpointPicker::isLeaving(const KnownEndpoint &endpoint) const
-{
-    const auto *known = this->findStats(endpoint);
-    return known != nullptr && known->condition.isLeaving && concerns(known->condition, endpoint);
+    if (found == this->stats.end()) {
+        return nullptr;
+    }
+    const auto &condition = found->second.condition;
+    const bool concernsEndpoint = condition.endpointId == endpoint.record.id && condition.incarnation >= endpoint.record.incarnation;
+    return concernsEndpoint ? &condition : nullptr;
 }
 
 bool EndpointPicker::recordCondition(const std::string &node, const std::optional<EndpointCondition> &condition, core::TimePoint now)
@@ -120,7 +108,8 @@
         const auto &node = endpoint->record.node;
         const bool isExcluded =
             request.tried != nullptr && std::find(request.tried->begin(), request.tried->end(), node) != request.tried->end();
-        if (isExcluded || this->isLeaving(*endpoint)) {
+        const auto *condition = this->knownCondition(*endpoint);
+        if (isExcluded || (condition != nullptr && condition->isLeaving)) {
             continue;
         }
         double cost = this->occupancy(*endpoint, request.now) + core::uniform(random) * tieBreak;
--- a/src/routing/endpointpicker.h
+++ b/src/routing/endpointpicker.h
@@ -68,11 +68,8 @@
     /// @returns whether its limit or its departure has changed
     bool recordCondition(const std::string &node, const std::optional<EndpointCondition> &condition, core::TimePoint now);
 
-    /// Rate limit of an endpoint that was reported to this node last, in requests per second; nothing if it has none.
-    [[nodiscard]] std::optional<double> knownLimit(const discovery::KnownEndpoint &endpoint) const;
-
-    /// Whether the endpoint's incarnation is known to be leaving.
-    [[nodiscard]] bool isLeaving(const discovery::KnownEndpoint &endpoint) const;
+    /// Condition of an endpoint that was reported last, of the incarnation in the directory or a later one; null if none was reported.
+    [[nodiscard]] const EndpointCondition *knownCondition(const discovery::KnownEndpoint &endpoint) const;
 
     /// Estimates the occupancy of an endpoint; 1 means that all its slots are taken or that its rate limit is used up.
     [[nodiscard]] double occupancy(const discovery::KnownEndpoint &endpoint, core::TimePoint now) const;
@@ -95,8 +92,6 @@
         core::TimePoint conditionUpdated {};
     };
 
-    [[nodiscard]] const EndpointStats *findStats(const discovery::KnownEndpoint &endpoint) const;
-
     std::unordered_map<std::string, EndpointStats> stats;
 };
 } // namespace figpulley::routing
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -530,6 +530,9 @@
         RC_ASSERT(mesh::decodeEndpointCondition(text) == condition);
         RC_ASSERT(!mesh::decodeEndpointCondition(text.substr(0, *rc::gen::inRange<std::size_t>(0, text.size()))));
     });
+    routing::EndpointCondition saturated {"i-1", 1, 0.2, 4, std::chrono::hours(6), false};
+    const auto decoded = mesh::decodeEndpointCondition(mesh::encode(saturated));
+    cr_expect(decoded && decoded->rateLimit == 0.2, "a limit with a very long queue must be read back");
 }
 
 Test(mesh, invalid_settings_are_reported)
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -156,7 +156,7 @@
         story.check(picker.recordCondition("10.0.0.1:1", condition(10, 1, 0s, false), now), "the limit to be new");
         story.check(!picker.recordCondition("10.0.0.1:1", condition(10, 1.2, 0s, false), now), "the same limit to change nothing");
         story.equal(pickOnce(picker, directory, now, random), std::string("10.0.0.2:1"), "the endpoint that has room");
-        story.equal(picker.knownLimit(known), std::optional(10.0), "the limit to be known");
+        story.check(picker.knownCondition(known) != nullptr && picker.knownCondition(known)->rateLimit == 10.0, "the limit to be known");
         story.equal(pickOnce(picker, directory, now + 2s, random), std::string("10.0.0.1:1"), "the endpoint once the report is outdated");
     });
     story.section("a small limit allows the next request after some time", [&] {
@@ -183,7 +183,7 @@
         next.incarnation += 1;
         directory.put(next, 3, now);
         story.equal(pickOnce(picker, directory, now + 1h, random), std::string("10.0.0.1:1"), "the next incarnation");
-        story.check(!picker.knownLimit(*directory.find("10.0.0.1:1")), "no limit of the next incarnation to be known");
+        story.check(picker.knownCondition(*directory.find("10.0.0.1:1")) == nullptr, "nothing to be known about the next incarnation");
     });
 }
 
