--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -48,7 +48,7 @@
         std::string service;
         std::string ip;
         std::atomic<int> pid = 0;
-        bool isPaused = false;
+        std::atomic<bool> isPaused = false;
         std::unique_ptr<net::HttpServer> endpoint;
         std::unique_ptr<FaultProxy> endpointLink;
         std::unique_ptr<FaultProxy> storeLink;
