--- a/src/mesh/collectionfollower.cpp
+++ b/src/mesh/collectionfollower.cpp
@@ -72,6 +72,12 @@
         this->requestPage(page.items.back().name);
         return;
     }
+    core::log(core::LogLevel::Info, "store.listed",
+              {{"collection", this->collection},
+               {"revision", fmt::to_string(this->listRevision)},
+               {"era", fmt::to_string(page.era)},
+               {"objects", fmt::to_string(this->names.size())},
+               {"earlier_revision", fmt::to_string(this->revision)}});
     this->listener.onListed(this->names, this->listRevision);
     this->revision = this->listRevision;
     this->listener.onCaughtUp(this->revision);
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -48,14 +48,18 @@
     , wire(wire)
     , random(systemSeed())
     , sampler(sampledLinesPerSecond, sampledLinesBurst)
+    , eraCheckedStore(store)
     , relay(loop)
-    , context {loop, client, this->relay, this->settings, wire, store, this->boardSections, this->random, this->metrics, this->sampler}
+    , context {loop,         client,        this->relay,  this->settings, wire, this->eraCheckedStore, this->boardSections,
+               this->random, this->metrics, this->sampler}
     , configUpdater(this->boardSections, wire, [this](const routing::RouteSet &routes) { this->outbound->setClientLimits(routes.limits); })
     , directoryUpdater(this->boardSections)
     , snapshots(this->context, this->configUpdater, this->directoryUpdater)
     , changes(this->context)
     , relayedStore(this->context, this->changes)
 {
+    this->eraCheckedStore.era().addListener(
+        [this](std::uint64_t earlier, std::uint64_t current) { this->handleStoreRestored(earlier, current); });
     this->registrar = std::make_shared<LocalRegistrar>(this->context, [this] {
         if (this->inbound) {
             this->inbound->refuseQueued();
@@ -148,6 +152,21 @@
                {"store", this->settings.store.toString()}});
 }
 
+// The first era that a node hears of is not a restore, as the node has read nothing before.
+void MeshNode::handleStoreRestored(std::uint64_t earlierEra, std::uint64_t era)
+{
+    this->metrics.setGauge("figpulley_store_era", static_cast<double>(era));
+    if (earlierEra == 0) {
+        core::log(core::LogLevel::Info, "store.era_known", {{"era", fmt::to_string(era)}});
+        return;
+    }
+    this->metrics.setGauge("figpulley_store_restores_seen", static_cast<double>(++this->restoresSeen));
+    core::log(core::LogLevel::Warning, "store.restored",
+              {{"era", fmt::to_string(era)},
+               {"earlier_era", fmt::to_string(earlierEra)},
+               {"config_version", fmt::to_string(this->configUpdater.version())}});
+}
+
 void MeshNode::reportLoad()
 {
     const auto busyFraction = this->loop.takeBusyFraction();
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -12,6 +12,7 @@
 #include "mesh/snapshotexchange.h"
 #include "mesh/updaters.h"
 #include "net/relayclient.h"
+#include "store/eracheckedstore.h"
 
 #include <functional>
 #include <memory>
@@ -46,6 +47,7 @@
 private:
     void checkStop();
     void reportLoad();
+    void handleStoreRestored(std::uint64_t earlierEra, std::uint64_t era);
     [[nodiscard]] std::size_t inFlight() const noexcept;
     [[nodiscard]] std::shared_ptr<CollectionFollower> follow(const std::string &collection, const CollectionListener &listener,
                                                              core::Duration changeDelay);
@@ -58,6 +60,7 @@
     MeshBoard boardSections;
     node::NodeMetrics metrics;
     core::LogSampler sampler;
+    store::EraCheckedStore eraCheckedStore;
     net::RelayClient relay;
     MeshContext context;
     ConfigUpdater configUpdater;
@@ -72,6 +75,7 @@
     std::shared_ptr<CollectionFollower> routesFollower;
     std::shared_ptr<CollectionFollower> endpointsFollower;
     std::function<void(std::size_t)> onStopped;
+    std::uint64_t restoresSeen = 0;
     net::EventLoop::TimerId loadTimer = net::EventLoop::noTimer;
     net::EventLoop::TimerId stopTimer = net::EventLoop::noTimer;
 };
--- a/src/mesh/updaters.cpp
+++ b/src/mesh/updaters.cpp
@@ -50,6 +50,11 @@
         return false;
     }
     const auto activeVersion = this->version();
+    if (routes->version < activeVersion) {
+        core::log(
+            core::LogLevel::Info, "config.older",
+            {{"version", fmt::to_string(routes->version)}, {"active", fmt::to_string(activeVersion)}, {"origin", std::string(origin)}});
+    }
     if (routes->version <= activeVersion) {
         return routes->version == activeVersion;
     }
@@ -86,6 +91,17 @@
                    {"service", record->service},
                    {"state", std::string(discovery::name(record->state))},
                    {"revision", fmt::to_string(revision)}});
+        return;
+    }
+    const auto *known = this->board.directory.read().find(record->node);
+    if (known != nullptr && known->record != *record) {
+        core::log(core::LogLevel::Info, "endpoint.ignored",
+                  {{"node", record->node},
+                   {"endpoint", record->id},
+                   {"state", std::string(discovery::name(record->state))},
+                   {"revision", fmt::to_string(revision)},
+                   {"known_state", std::string(discovery::name(known->record.state))},
+                   {"known_revision", fmt::to_string(known->revision)}});
     }
 }
 
--- a/src/platform/names.h
+++ b/src/platform/names.h
@@ -36,6 +36,7 @@
 inline constexpr std::string_view stateDraining = "draining";
 
 // Object store.
+inline constexpr std::string_view storeEra = "Store-Era"; ///< number that rises each time the store is restored from a backup
 inline constexpr std::string_view objectsPath = "/v1/objects/";
 inline constexpr const char *items = "items";
 inline constexpr const char *events = "events";
--- a/src/platform/platformstore.cpp
+++ b/src/platform/platformstore.cpp
@@ -1,7 +1,9 @@
 #include "platform/platformstore.h"
 
+#include "core/log.h"
 #include "platform/names.h"
 
+#include <charconv>
 #include <chrono>
 
 #include <fmt/format.h>
@@ -32,6 +34,21 @@
 constexpr int httpTooManyRequests = 429;
 constexpr int httpServiceUnavailable = 503;
 
+// Reads the era that a response states. Responses of every status state it.
+std::uint64_t readEra(const net::ClientResponse &response)
+{
+    const auto text = net::findHeader(response.head.headers, names::storeEra);
+    std::uint64_t era = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), era);
+    if (error == std::errc() && end == text.data() + text.size()) {
+        return era;
+    }
+    if (!text.empty()) {
+        core::log(core::LogLevel::Warning, "store.era_invalid", {{"value", std::string(text)}});
+    }
+    return 0;
+}
+
 // Parses an object of the store. Its spec, which is the content that its writer stored, is kept as JSON text.
 CollectionItem parseItem(const json &object)
 {
@@ -59,6 +76,7 @@
 CollectionItems parseItems(const net::ClientResponse &response)
 {
     CollectionItems items;
+    items.era = readEra(response);
     if (response.result.kind != ErrorKind::None || response.head.status != httpOk) {
         items.kind = response.head.status == httpGone && response.result.kind == ErrorKind::None ? ErrorKind::HistoryGone
                                                                                                  : ErrorKind::PlatformUnavailable;
@@ -81,6 +99,7 @@
     } catch (const json::exception &) {
         items = {};
         items.kind = ErrorKind::PlatformUnavailable;
+        items.era = readEra(response);
     }
     return items;
 }
@@ -97,6 +116,7 @@
 ItemResult parseResult(const net::ClientResponse &response, bool isWrite)
 {
     ItemResult result;
+    result.era = readEra(response);
     const auto status = response.result.kind == ErrorKind::None ? response.head.status : 0;
     if (status == httpNotFound) {
         result.kind = ErrorKind::NotFound;
--- a/src/store/collectionstore.h
+++ b/src/store/collectionstore.h
@@ -26,6 +26,7 @@
     core::ErrorKind kind = core::ErrorKind::None; ///< PlatformUnavailable, HistoryGone or None
     std::vector<CollectionItem> items;
     std::uint64_t revision = 0; ///< revision of the store, from which the next watch continues
+    std::uint64_t era = 0; ///< era of the store that the response states, failures included; 0 if it states none
     bool hasMore = false; ///< in a list: another page follows the last name
 };
 
@@ -34,10 +35,11 @@
 {
     core::ErrorKind kind = core::ErrorKind::None; ///< NotFound, Conflict, PlatformUnavailable, PlatformOutcomeUnknown or None
     CollectionItem item; ///< current object after a read, a write or a conflict
+    std::uint64_t era = 0; ///< era of the store that the response states, failures included; 0 if it states none
 };
 
-/// Store of objects in named collections, with one revision counter for all changes. Implementations invoke the callback exactly once
-/// for each call, and never before the call returns.
+/// Store of objects in named collections, with one revision counter for all changes of an era. Implementations invoke the callback exactly
+/// once for each call, and never before the call returns.
 class CollectionStore
 {
 public:
