Read the collections anew when the store was restored

Cause: followers, change logs and the queries between nodes use a revision as a cursor although it belongs to an era. After a restore the same number names another state, so a watch from it misses what was written below it, and a change log ignores it.

Fix: the store's responses, refusals included, state its era. EraCheckedStore tracks it, turns late responses of an earlier era into failures (an acknowledged write into one of unknown outcome), and a later era makes both followers list again. Change logs hold one era.

The stand-in of the metadata store states an era and can be restored from a copy.

--- a/src/mesh/changerelay.cpp
+++ b/src/mesh/changerelay.cpp
@@ -15,10 +15,12 @@
 
 constexpr std::size_t queryFieldCount = 3;
 constexpr core::Duration maxWait = 30s;
+constexpr core::Duration maxListTime = 200ms; // less than the time that the sender of a query for all objects waits
 constexpr int httpOk = 200;
 constexpr int httpBadRequest = 400;
 constexpr int httpServiceUnavailable = 503;
 constexpr const char *historyGoneKey = "history_gone";
+constexpr const char *eraKey = "era";
 
 net::HttpResponse itemsResponse(const store::CollectionItems &items)
 {
@@ -30,13 +32,22 @@
     return {httpServiceUnavailable, {}, {}};
 }
 
-store::CollectionItems changesSince(const store::ChangeLog &log, std::uint64_t revision)
+// Whether a query's revision belongs to another era than the log.
+bool isOfOtherEra(const ChangeQuery &query, const store::ChangeLog &log)
+{
+    return query.revision != 0 && query.era != 0 && query.era != log.era();
+}
+
+store::CollectionItems changesSince(const store::ChangeLog &log, const ChangeQuery &query)
 {
     store::CollectionItems items;
     items.revision = log.revision();
-    if (revision == 0) {
+    items.era = log.era();
+    if (query.revision == 0) {
         items.items = log.allItems();
-    } else if (auto changes = log.changesAfter(revision)) {
+    } else if (isOfOtherEra(query, log)) {
+        items.kind = ErrorKind::HistoryGone;
+    } else if (auto changes = log.changesAfter(query.revision)) {
         items.items = std::move(*changes);
     } else {
         items.kind = ErrorKind::HistoryGone;
@@ -74,7 +85,10 @@
     for (const auto &item : items.items) {
         list.push_back({{"name", item.name}, {"revision", item.revision}, {"content", item.content}, {"deleted", item.isDeleted}});
     }
-    return nlohmann::json {{"revision", items.revision}, {historyGoneKey, items.kind == ErrorKind::HistoryGone}, {"items", std::move(list)}}
+    return nlohmann::json {{"revision", items.revision},
+                           {eraKey, items.era},
+                           {historyGoneKey, items.kind == ErrorKind::HistoryGone},
+                           {"items", std::move(list)}}
         .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
@@ -84,6 +98,7 @@
     try {
         const auto object = nlohmann::json::parse(text);
         items.revision = object.at("revision").get<std::uint64_t>();
+        items.era = object.value(eraKey, std::uint64_t {0});
         items.kind = object.at(historyGoneKey).get<bool>() ? ErrorKind::HistoryGone : ErrorKind::None;
         for (const auto &entry : object.at("items")) {
             items.items.push_back({entry.at("name").get<std::string>(), entry.at("revision").get<std::uint64_t>(),
@@ -130,7 +145,7 @@
     auto &state = this->collections[collection];
     for (auto at = state.waiters.begin(); at != state.waiters.end();) {
         const auto position = at++;
-        const auto items = changesSince(state.log, position->query.revision);
+        const auto items = changesSince(state.log, position->query);
         if (items.kind != ErrorKind::None || !items.items.empty()) {
             this->removeWaiter(state, position).exchange->respond(itemsResponse(items));
         }
@@ -163,18 +178,34 @@
 
 void ChangeRelay::accept(const std::shared_ptr<net::HttpExchange> &exchange)
 {
-    const auto query = decodeChangeQuery(net::findHeader(exchange->request().headers, header));
+    const auto &headers = exchange->request().headers;
+    auto query = decodeChangeQuery(net::findHeader(headers, header));
     if (!query) {
         exchange->respond({httpBadRequest, {}, {}});
         return;
     }
+    if (!text::readNumber(net::findHeader(headers, eraHeader), query->era)) {
+        query->era = 0;
+    }
+    // The sender may have noticed a restore first. Learning of it makes this node list its collections again.
+    static_cast<void>(this->context.storeEra.deliver(query->era, [] {}));
     const auto found = this->collections.find(query->collection);
-    if (this->isClosed || found == this->collections.end() || !found->second.isReadFromStore || found->second.log.revision() == 0) {
+    if (this->isClosed || found == this->collections.end() || !found->second.isReadFromStore) {
         exchange->respond(unavailableResponse());
         return;
     }
     auto &state = found->second;
-    const auto items = changesSince(state.log, query->revision);
+    if (!this->isListed(state)) {
+        // A list after a restore takes one call to the store; refusing queries meanwhile would send all their senders there.
+        if (state.log.era() == 0) {
+            exchange->respond(unavailableResponse());
+        } else {
+            query->wait = std::max(query->wait, maxListTime);
+            this->addWaiter(state, *query, exchange);
+        }
+        return;
+    }
+    const auto items = changesSince(state.log, *query);
     if (query->revision == 0 || items.kind != ErrorKind::None || !items.items.empty()) {
         exchange->respond(itemsResponse(items));
         return;
@@ -182,6 +213,11 @@
     this->addWaiter(state, *query, exchange);
 }
 
+bool ChangeRelay::isListed(const CollectionState &state) const
+{
+    return state.log.revision() != 0 && state.log.era() == this->context.storeEra.current();
+}
+
 void ChangeRelay::addWaiter(CollectionState &state, ChangeQuery query, const std::shared_ptr<net::HttpExchange> &exchange)
 {
     const auto delay = query.wait;
@@ -189,7 +225,18 @@
     position->timer = this->context.loop.callAfter(delay, [this, &state, position] {
         position->timer = net::EventLoop::noTimer;
         const auto waiter = this->removeWaiter(state, position);
-        waiter.exchange->respond(itemsResponse(changesSince(state.log, waiter.query.revision)));
+        if (this->isListed(state)) {
+            waiter.exchange->respond(itemsResponse(changesSince(state.log, waiter.query)));
+            return;
+        }
+        if (waiter.query.revision == 0) {
+            waiter.exchange->respond(unavailableResponse());
+            return;
+        }
+        store::CollectionItems noChanges;
+        noChanges.revision = waiter.query.revision;
+        noChanges.era = waiter.query.era;
+        waiter.exchange->respond(itemsResponse(noChanges));
     });
     exchange->onCancelled([this, &state, position] { static_cast<void>(this->removeWaiter(state, position)); });
 }
--- a/src/mesh/changerelay.h
+++ b/src/mesh/changerelay.h
@@ -18,6 +18,7 @@
     std::string collection;
     std::uint64_t revision = 0; ///< revision after which changes are requested; 0 requests all objects of the collection
     core::Duration wait {}; ///< time without changes after which an empty response is sent
+    std::uint64_t era = 0; ///< era of the store that the revision belongs to; 0 if the sender states none. Sent in a header of its own
 
     [[nodiscard]] bool operator==(const ChangeQuery &) const = default;
 };
@@ -34,7 +35,8 @@
 [[nodiscard]] store::CollectionItems decodeItems(std::string_view text);
 
 /// Serves the changes that this node reads from the store to other nodes of its zone. It refuses queries while the store does not
-/// answer this node or while this node itself queries another one; the sender then has to query the store.
+/// answer this node or while this node itself queries another one; the sender then has to query the store. A query with a revision of an
+/// earlier era is answered as if the history was gone, once the collection was listed in the current era.
 class ChangeRelay
 {
 public:
@@ -62,6 +64,9 @@
     /// Header that carries a query to a node's ingress.
     static constexpr const char *header = "Figpulley-Changes";
 
+    /// Header with the era of the store that the sender of a query knows of. Nodes of versions without it ignore it.
+    static constexpr const char *eraHeader = "Figpulley-Store-Era";
+
 private:
     struct Waiter
     {
@@ -80,6 +85,9 @@
     using WaiterPosition = std::list<Waiter>::iterator;
 
     void addWaiter(CollectionState &state, ChangeQuery query, const std::shared_ptr<net::HttpExchange> &exchange);
+    /// Whether the log holds a complete list of the current era of the store.
+    [[nodiscard]] bool isListed(const CollectionState &state) const;
+
     void refuseWaiters(CollectionState &state);
     Waiter removeWaiter(CollectionState &state, WaiterPosition position);
 
--- a/src/mesh/collectionfollower.cpp
+++ b/src/mesh/collectionfollower.cpp
@@ -35,35 +35,59 @@
 
 void CollectionFollower::start()
 {
-    this->requestPage({});
+    this->list();
 }
 
-void CollectionFollower::requestPage(const std::string &after)
+void CollectionFollower::followEra(std::uint64_t current)
 {
-    if (after.empty()) {
-        this->names.clear();
-        this->listRevision = 0;
-        this->listedPages = 0;
+    if (this->era != current && !this->isFirstPageAwaited) {
+        this->list();
     }
-    this->store.list(this->collection, after, [weak = this->weak_from_this()](const store::CollectionItems &page) {
-        if (const auto self = weak.lock()) {
-            self->handlePage(page);
+}
+
+store::CollectionStore::ItemsCallback CollectionFollower::callback(void (CollectionFollower::*handle)(const store::CollectionItems &))
+{
+    return [weak = this->weak_from_this(), handle, startedIn = this->round](const store::CollectionItems &response) {
+        const auto self = weak.lock();
+        if (self && self->round == startedIn) {
+            ((*self).*handle)(response);
         }
-    });
+    };
+}
+
+void CollectionFollower::list()
+{
+    ++this->round;
+    this->names.clear();
+    this->listRevision = 0;
+    this->listedPages = 0;
+    this->isFirstPageAwaited = true;
+    this->requestPage({});
+}
+
+void CollectionFollower::requestPage(const std::string &after)
+{
+    this->store.list(this->collection, after, this->callback(&CollectionFollower::handlePage));
 }
 
 void CollectionFollower::handlePage(const store::CollectionItems &page)
 {
+    this->isFirstPageAwaited = false;
     this->setStoreReachable(page.kind == ErrorKind::None);
     if (page.kind != ErrorKind::None) {
-        this->scheduleRetry([](CollectionFollower &self) { self.requestPage({}); });
+        this->scheduleList();
         return;
     }
-    ++this->listedPages;
-    // The watch starts from the first page's revision, so that it returns changes made while further pages are read.
-    if (this->listRevision == 0) {
+    if (this->listedPages == 0) {
+        // The watch starts from the first page's revision, so that it returns changes made while further pages are read.
         this->listRevision = page.revision;
+        this->era = page.era;
+        this->listener.onListBegun(this->era);
+    } else if (page.era != this->era) {
+        this->list();
+        return;
     }
+    ++this->listedPages;
     for (const auto &item : page.items) {
         this->names.insert(item.name);
         this->listener.onItem(item);
@@ -75,7 +99,7 @@
     core::log(core::LogLevel::Info, "store.listed",
               {{"collection", this->collection},
                {"revision", fmt::to_string(this->listRevision)},
-               {"era", fmt::to_string(page.era)},
+               {"era", fmt::to_string(this->era)},
                {"objects", fmt::to_string(this->names.size())},
                {"earlier_revision", fmt::to_string(this->revision)}});
     this->listener.onListed(this->names, this->listRevision);
@@ -86,12 +110,7 @@
 
 void CollectionFollower::startWatch()
 {
-    this->store.watch(this->collection, this->revision, this->watchTimeout(),
-                      [weak = this->weak_from_this()](const store::CollectionItems &changes) {
-                          if (const auto self = weak.lock()) {
-                              self->handleChanges(changes);
-                          }
-                      });
+    this->store.watch(this->collection, this->revision, this->watchTimeout(), this->callback(&CollectionFollower::handleChanges));
 }
 
 void CollectionFollower::handleChanges(const store::CollectionItems &changes)
@@ -99,7 +118,7 @@
     if (changes.kind == ErrorKind::HistoryGone) {
         core::log(core::LogLevel::Info, "store.history_gone",
                   {{"collection", this->collection}, {"revision", fmt::to_string(this->revision)}});
-        this->requestPage({});
+        this->list();
         return;
     }
     this->setStoreReachable(changes.kind == ErrorKind::None);
@@ -107,10 +126,15 @@
         // After a failed watch the collection is listed without delay, because a list includes all changes that the watch has missed.
         if (this->failureCount == 0) {
             this->failureCount = 1;
-            this->requestPage({});
+            this->list();
             return;
         }
-        this->scheduleRetry([](CollectionFollower &self) { self.requestPage({}); });
+        this->scheduleList();
+        return;
+    }
+    if (changes.era != this->era) {
+        // The store was restored during the watch: the changes follow a revision of the earlier era, so some may be missing.
+        this->list();
         return;
     }
     for (const auto &item : changes.items) {
@@ -125,27 +149,30 @@
     }
     // A watch may return only one change per call, whereas a list of one page returns all changes of a long series at once.
     const bool isLongSeries = this->watchesWithChanges >= watchesBeforeList && this->listedPages == 1;
-    this->schedule(this->changeDelay, [weak = this->weak_from_this(), isLongSeries] {
-        if (const auto self = weak.lock()) {
-            if (isLongSeries) {
-                self->watchesWithChanges = 0;
-                self->requestPage({});
-            } else {
-                self->startWatch();
-            }
+    this->schedule(this->changeDelay, [weak = this->weak_from_this(), isLongSeries, startedIn = this->round] {
+        const auto self = weak.lock();
+        if (!self || self->round != startedIn) {
+            return;
+        }
+        if (isLongSeries) {
+            self->watchesWithChanges = 0;
+            self->list();
+        } else {
+            self->startWatch();
         }
     });
 }
 
-void CollectionFollower::scheduleRetry(std::function<void(CollectionFollower &)> step)
+void CollectionFollower::scheduleList()
 {
     const auto doublings = std::min(this->failureCount, maxDoublings);
     this->failureCount = doublings + 1;
     const auto backoff = std::min(maxBackoff, minBackoff * (1 << doublings));
     const auto jittered = std::chrono::duration_cast<core::Duration>(backoff * (0.5 + 0.5 * core::uniform(this->random)));
-    this->schedule(jittered, [weak = this->weak_from_this(), step = std::move(step)] {
-        if (const auto self = weak.lock()) {
-            step(*self);
+    this->schedule(jittered, [weak = this->weak_from_this(), startedIn = this->round] {
+        const auto self = weak.lock();
+        if (self && self->round == startedIn) {
+            self->list();
         }
     });
 }
@@ -157,7 +184,7 @@
     }
     if (isReachable != this->isStoreReachable) {
         core::log(isReachable ? core::LogLevel::Info : core::LogLevel::Warning, isReachable ? "store.regained" : "store.lost",
-                  {{"collection", this->collection}, {"revision", fmt::to_string(this->revision)}});
+                  {{"collection", this->collection}, {"revision", fmt::to_string(this->revision)}, {"era", fmt::to_string(this->era)}});
     }
     this->isStoreReachable = isReachable;
 }
--- a/src/mesh/collectionfollower.h
+++ b/src/mesh/collectionfollower.h
@@ -14,12 +14,14 @@
 /// Callbacks that receive the contents of a collection.
 struct CollectionListener
 {
+    std::function<void(std::uint64_t)> onListBegun; ///< a list begins, of this era of the store; its objects follow
     std::function<void(const store::CollectionItem &)> onItem; ///< an object was listed, has changed or was deleted
     std::function<void(const std::unordered_set<std::string> &, std::uint64_t)> onListed; ///< names and revision of a complete list
     std::function<void(std::uint64_t)> onCaughtUp; ///< all changes up to a revision have been passed on
 };
 
-/// Follows one collection: lists it, then watches it, and lists it again if the watch fails or the store has discarded its history.
+/// Follows one collection: lists it, then watches it. Lists it again if the watch fails, if the store has discarded its history, or if
+/// the store was restored, as a revision of an earlier era names another state or none.
 class CollectionFollower : public std::enable_shared_from_this<CollectionFollower>
 {
 public:
@@ -32,12 +34,17 @@
 
     void start();
 
+    /// Lists the collection again unless its contents are of this era or the first page of a list is awaited already.
+    void followEra(std::uint64_t era);
+
 private:
+    void list();
     void requestPage(const std::string &after);
     void handlePage(const store::CollectionItems &page);
     void startWatch();
     void handleChanges(const store::CollectionItems &changes);
-    void scheduleRetry(std::function<void(CollectionFollower &)> step);
+    void scheduleList();
+    [[nodiscard]] store::CollectionStore::ItemsCallback callback(void (CollectionFollower::*handle)(const store::CollectionItems &));
     void setStoreReachable(bool isReachable);
 
     store::CollectionStore &store;
@@ -48,11 +55,14 @@
     std::function<core::Duration()> watchTimeout;
     core::Duration changeDelay;
     std::unordered_set<std::string> names;
+    std::uint64_t era = 0; // era of the store that the names and revisions belong to
     std::uint64_t listRevision = 0;
     std::uint64_t revision = 0;
+    std::uint64_t round = 0; // number of lists begun; responses to calls of earlier rounds are ignored
     int failureCount = 0;
     int watchesWithChanges = 0; // number of consecutive watches that returned changes
     std::size_t listedPages = 0; // number of pages of the last list
+    bool isFirstPageAwaited = false;
     bool isStoreReachable = true;
 };
 } // namespace figpulley::mesh
--- a/src/mesh/meshcontext.h
+++ b/src/mesh/meshcontext.h
@@ -8,6 +8,7 @@
 #include "net/httpsender.h"
 #include "node/nodemetrics.h"
 #include "store/collectionstore.h"
+#include "store/eratracker.h"
 
 namespace figpulley::mesh
 {
@@ -20,6 +21,7 @@
     const MeshSettings &settings;
     const WireFormat &wire;
     store::CollectionStore &store;
+    store::EraTracker &storeEra; ///< latest era of the store that this node knows of
     MeshBoard &board;
     core::Random &random;
     node::NodeMetrics &metrics;
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -50,8 +50,17 @@
     , sampler(sampledLinesPerSecond, sampledLinesBurst)
     , eraCheckedStore(store)
     , relay(loop)
-    , context {loop,         client,        this->relay,  this->settings, wire, this->eraCheckedStore, this->boardSections,
-               this->random, this->metrics, this->sampler}
+    , context {loop,
+               client,
+               this->relay,
+               this->settings,
+               wire,
+               this->eraCheckedStore,
+               this->eraCheckedStore.era(),
+               this->boardSections,
+               this->random,
+               this->metrics,
+               this->sampler}
     , configUpdater(this->boardSections, wire, [this](const routing::RouteSet &routes) { this->outbound->setClientLimits(routes.limits); })
     , directoryUpdater(this->boardSections)
     , snapshots(this->context, this->configUpdater, this->directoryUpdater)
@@ -95,6 +104,7 @@
 {
     auto &log = this->changes.changeLog(collection);
     CollectionListener loggingListener;
+    loggingListener.onListBegun = [&log](std::uint64_t era) { log.beginList(era); };
     loggingListener.onItem = [listener, &log](const store::CollectionItem &item) {
         listener.onItem(item);
         log.put(item);
@@ -165,6 +175,8 @@
               {{"era", fmt::to_string(era)},
                {"earlier_era", fmt::to_string(earlierEra)},
                {"config_version", fmt::to_string(this->configUpdater.version())}});
+    this->routesFollower->followEra(era);
+    this->endpointsFollower->followEra(era);
 }
 
 void MeshNode::reportLoad()
--- a/src/mesh/relayedstore.cpp
+++ b/src/mesh/relayedstore.cpp
@@ -56,6 +56,7 @@
     net::ClientRequest request;
     request.url = fmt::format("http://{}/", node);
     request.headers.push_back({ChangeRelay::header, encode(query)});
+    request.headers.push_back({ChangeRelay::eraHeader, fmt::to_string(this->context.storeEra.current())});
     request.timeout = query.wait + watcherMargin;
     request.connectTimeout = watcherConnectTimeout;
     this->context.client.fetch(request, maxResponseBytes,
@@ -67,7 +68,7 @@
                                    const bool isAnswered = response.result.kind == ErrorKind::None && response.head.status == httpOk;
                                    const auto items = isAnswered ? decodeItems(response.body) : store::CollectionItems {};
                                    if (isAnswered && items.kind != ErrorKind::PlatformUnavailable) {
-                                       callback(items);
+                                       this->deliver(items, callback);
                                        return;
                                    }
                                    core::log(core::LogLevel::Info, "watcher.avoided",
@@ -80,9 +81,26 @@
                                });
 }
 
+// A watcher that answers with an earlier era has learned of the current one from the query, so the caller can query it again soon.
+void RelayedStore::deliver(const store::CollectionItems &response, const ItemsCallback &callback)
+{
+    const bool isCurrent = this->context.storeEra.deliver(response.era, [&] {
+        auto current = response;
+        current.era = this->context.storeEra.current();
+        callback(current);
+    });
+    if (!isCurrent) {
+        store::CollectionItems failure;
+        failure.kind = ErrorKind::PlatformUnavailable;
+        failure.era = this->context.storeEra.current();
+        callback(failure);
+    }
+}
+
 void RelayedStore::updateReadFromStore(const std::string &collection, const store::CollectionItems &response)
 {
-    this->relay.setReadFromStore(collection, response.kind == ErrorKind::None);
+    const bool isAnswered = response.kind == ErrorKind::None || response.kind == ErrorKind::HistoryGone;
+    this->relay.setReadFromStore(collection, isAnswered);
 }
 
 void RelayedStore::listFromStore(const std::string &collection, const std::string &after, ItemsCallback callback)
--- a/src/mesh/relayedstore.h
+++ b/src/mesh/relayedstore.h
@@ -26,6 +26,7 @@
 private:
     [[nodiscard]] std::string selectWatcher(core::TimePoint now) const;
     void queryWatcher(const std::string &node, const ChangeQuery &query, ItemsCallback callback, std::function<void()> fallback);
+    void deliver(const store::CollectionItems &response, const ItemsCallback &callback);
     void listFromStore(const std::string &collection, const std::string &after, ItemsCallback callback);
     void watchStore(const std::string &collection, std::uint64_t revision, core::Duration wait, ItemsCallback callback);
     void updateReadFromStore(const std::string &collection, const store::CollectionItems &response);
--- a/src/store/changelog.cpp
+++ b/src/store/changelog.cpp
@@ -5,6 +5,15 @@
 
 namespace figpulley::store
 {
+void ChangeLog::beginList(std::uint64_t era)
+{
+    if (era == this->storeEra) {
+        return;
+    }
+    *this = {};
+    this->storeEra = era;
+}
+
 void ChangeLog::put(const CollectionItem &item)
 {
     auto &known = this->items[item.name];
@@ -58,4 +67,9 @@
 {
     return this->latestRevision;
 }
+
+std::uint64_t ChangeLog::era() const noexcept
+{
+    return this->storeEra;
+}
 } // namespace figpulley::store
--- a/src/store/changelog.h
+++ b/src/store/changelog.h
@@ -13,10 +13,15 @@
 
 namespace figpulley::store
 {
-/// Objects of a collection and its recent changes. A node serves them to other nodes, which then need not read the store.
+/// Objects of a collection and its recent changes, all of one era of the store. A node serves them to other nodes, which then need not read
+/// the store.
 class ChangeLog
 {
 public:
+    /// Prepares for the objects of a new list. If the store's era has changed, forgets everything that is known of the earlier era; then
+    /// no changes are known until the list is complete.
+    void beginList(std::uint64_t era);
+
     /// Records an object that was listed, changed or deleted; a revision that is not newer than the known one is ignored.
     void put(const CollectionItem &item);
 
@@ -35,9 +40,12 @@
     /// Returns all objects of the collection, ordered by name.
     [[nodiscard]] std::vector<CollectionItem> allItems() const;
 
-    /// Returns the revision up to which all changes are known; 0 before the first list.
+    /// Returns the revision up to which all changes are known; 0 before the first list of an era.
     [[nodiscard]] std::uint64_t revision() const noexcept;
 
+    /// Returns the era of the store that the objects and revisions belong to.
+    [[nodiscard]] std::uint64_t era() const noexcept;
+
 private:
     // Covers several minutes of changes; a node that was disconnected for longer reads a complete list.
     static constexpr std::size_t maxChanges = 1024;
@@ -46,5 +54,6 @@
     std::deque<CollectionItem> changes; // sorted from the oldest to the newest
     std::uint64_t baseRevision = 0; // the log holds the changes after this revision
     std::uint64_t latestRevision = 0;
+    std::uint64_t storeEra = 0;
 };
 } // namespace figpulley::store
--- a/src/store/eracheckedstore.cpp
+++ b/src/store/eracheckedstore.cpp
@@ -15,6 +15,14 @@
     core::log(core::LogLevel::Info, "store.response_outdated",
               {{"call", call}, {"era", fmt::to_string(era)}, {"current_era", fmt::to_string(current)}});
 }
+
+// Completes a response that states no era.
+template<class Response>
+Response withEra(Response response, std::uint64_t era)
+{
+    response.era = era;
+    return response;
+}
 } // namespace
 
 EraCheckedStore::EraCheckedStore(CollectionStore &store)
@@ -33,22 +41,25 @@
         if (token.expired()) {
             return;
         }
-        if (!this->tracker.deliver(response.era, [&] { callback(response); })) {
+        if (!this->tracker.deliver(response.era, [&] { callback(withEra(response, this->tracker.current())); })) {
             logOutdated(call, response.era, this->tracker.current());
-            callback(response);
+            CollectionItems failure;
+            failure.kind = core::ErrorKind::PlatformUnavailable;
+            callback(withEra(std::move(failure), this->tracker.current()));
         }
     };
 }
 
-CollectionStore::ItemCallback EraCheckedStore::checked(const std::string &call, ItemCallback callback)
+CollectionStore::ItemCallback EraCheckedStore::checked(const std::string &call, core::ErrorKind outdated, ItemCallback callback)
 {
-    return [this, call, callback = std::move(callback), token = std::weak_ptr<bool>(this->lifetimeToken)](const ItemResult &response) {
+    return [this, call, outdated, callback = std::move(callback),
+            token = std::weak_ptr<bool>(this->lifetimeToken)](const ItemResult &response) {
         if (token.expired()) {
             return;
         }
-        if (!this->tracker.deliver(response.era, [&] { callback(response); })) {
+        if (!this->tracker.deliver(response.era, [&] { callback(withEra(response, this->tracker.current())); })) {
             logOutdated(call, response.era, this->tracker.current());
-            callback(response);
+            callback({outdated, {}, this->tracker.current()});
         }
     };
 }
@@ -65,12 +76,14 @@
 
 void EraCheckedStore::get(const std::string &collection, const std::string &name, ItemCallback callback)
 {
-    this->store.get(collection, name, this->checked("get " + name, std::move(callback)));
+    this->store.get(collection, name, this->checked("get " + name, core::ErrorKind::PlatformUnavailable, std::move(callback)));
 }
 
+// A write that was acknowledged in an earlier era may be lost, or may be part of the backup.
 void EraCheckedStore::put(const std::string &collection, const std::string &name, const std::string &content, std::uint64_t revision,
                           ItemCallback callback)
 {
-    this->store.put(collection, name, content, revision, this->checked("put " + name, std::move(callback)));
+    this->store.put(collection, name, content, revision,
+                    this->checked("put " + name, core::ErrorKind::PlatformOutcomeUnknown, std::move(callback)));
 }
 } // namespace figpulley::store
--- a/src/store/eracheckedstore.h
+++ b/src/store/eracheckedstore.h
@@ -8,7 +8,8 @@
 
 namespace figpulley::store
 {
-/// Store that tracks the era which the responses state, failed calls included, and logs late responses of earlier eras.
+/// Store whose responses all belong to its current era: tracks the era that responses state, failed calls included, and turns late
+/// responses of earlier eras into failures.
 class EraCheckedStore : public CollectionStore
 {
 public:
@@ -25,7 +26,7 @@
 
 private:
     [[nodiscard]] ItemsCallback checked(const std::string &call, ItemsCallback callback);
-    [[nodiscard]] ItemCallback checked(const std::string &call, ItemCallback callback);
+    [[nodiscard]] ItemCallback checked(const std::string &call, core::ErrorKind outdated, ItemCallback callback);
 
     CollectionStore &store;
     EraTracker tracker;
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -440,6 +440,47 @@
     });
 }
 
+// Guards against nodes that read through a watcher of the zone and miss the changes after a restore, while no call to the store fails.
+Test(mesh, changes_after_a_restore_reach_the_nodes_that_do_not_watch_the_store)
+{
+    tests::Story story;
+    tests::MeshTestbed bed;
+    bed.publish();
+    const std::vector<std::string> names {"m1", "m2", "m3", "m4"};
+    for (const auto &name : names) {
+        bed.add(name, "motivi");
+        bed.heartbeat(name, 1);
+    }
+    const auto waitForAll = [&](std::size_t endpoints) {
+        for (const auto &name : names) {
+            bed.waitForReadyEndpoints(name, endpoints);
+            bed.waitForVersion(name, bed.version);
+        }
+    };
+    waitForAll(names.size());
+    bed.waitUntil([&] { return bed.store->pendingWatches() == 2; });
+    for (const bool watchesGoOn : {false, true}) {
+        story.section(watchesGoOn ? "the watches wait on" : "the watches end", [&] {
+            bed.onLoop([&] {
+                bed.store->copy();
+                return true;
+            });
+            for (int change = 0; change < 3; ++change) {
+                bed.publishVersion(++bed.version);
+            }
+            waitForAll(names.size());
+            const auto lists = bed.onLoop([&] { return bed.store->listCalls; });
+            bed.onLoop([&] {
+                bed.store->restore(watchesGoOn);
+                return true;
+            });
+            bed.publishVersion(++bed.version);
+            waitForAll(names.size());
+            story.check(bed.onLoop([&] { return bed.store->listCalls; }) - lists <= 2, "only the watcher to list the two collections");
+        });
+    }
+}
+
 Test(mesh, planned_stop_finishes_requests_in_flight)
 {
     tests::Story story;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,8 +1,12 @@
 #include "support/story.h"
 
+#include "net/loopthread.h"
 #include "platform/platform.h"
+#include "support/metadatastore.h"
 
 #include <chrono>
+#include <future>
+#include <memory>
 
 using namespace figpulley;
 using namespace std::chrono_literals;
@@ -138,3 +142,47 @@
         story.check(!replyWith({{"Server-Leaving", "0"}}).isLeaving, "another value to mean nothing");
     });
 }
+
+// Guards against a restore that goes unnoticed, because the response that shows it first is an error.
+Test(platform, responses_of_every_status_state_the_era_of_the_store)
+{
+    tests::Story story;
+    net::LoopThread thread;
+    std::unique_ptr<net::HttpClient> client;
+    std::unique_ptr<tests::MetadataStore> stored;
+    std::unique_ptr<platform::PlatformStore> store;
+    thread.call([&] {
+        client = std::make_unique<net::HttpClient>(thread.loop());
+        stored = std::make_unique<tests::MetadataStore>(thread.loop(), net::Address {"127.0.0.1", 0});
+        store = std::make_unique<platform::PlatformStore>(*client, stored->address().toString());
+        stored->write("records", "a", "{}");
+        stored->copy();
+        stored->restore(false);
+    });
+    const auto readItems = [&](auto call) {
+        std::promise<store::CollectionItems> promise;
+        thread.call([&] { call([&](const store::CollectionItems &items) { promise.set_value(items); }); });
+        return promise.get_future().get();
+    };
+    const auto readItem = [&](auto call) {
+        std::promise<store::ItemResult> promise;
+        thread.call([&] { call([&](const store::ItemResult &result) { promise.set_value(result); }); });
+        return promise.get_future().get();
+    };
+    const auto list = readItems([&](auto callback) { store->list("records", {}, callback); });
+    story.check(list.kind == core::ErrorKind::None && list.era == 2, "a list to state the era");
+    const auto watch = readItems([&](auto callback) { store->watch("records", 90, 1s, callback); });
+    story.check(watch.kind == core::ErrorKind::HistoryGone && watch.era == 2, "a watch from an unknown revision to state it");
+    const auto missing = readItem([&](auto callback) { store->get("records", "b", callback); });
+    story.check(missing.kind == core::ErrorKind::NotFound && missing.era == 2, "a missing object to state it");
+    const auto conflict = readItem([&](auto callback) { store->put("records", "a", "{}", 0, callback); });
+    story.check(conflict.kind == core::ErrorKind::Conflict && conflict.era == 2, "a conflict to state it");
+    thread.call([&] { stored->fault = tests::MetadataStore::Fault::Busy; });
+    const auto refused = readItem([&](auto callback) { store->put("records", "c", "{}", 0, callback); });
+    story.check(refused.kind == core::ErrorKind::PlatformUnavailable && refused.era == 2, "a refused write to state it");
+    thread.call([&] {
+        store.reset();
+        stored.reset();
+        client.reset();
+    });
+}
--- a/tests/support/metadatastore.h
+++ b/tests/support/metadatastore.h
@@ -18,8 +18,8 @@
 namespace figpulley::tests
 {
 /// Stand-in for the platform's metadata store with its published wire format: objects by kind and name, a single revision counter,
-/// conditional writes, watches with a history that can be discarded, paged lists, and faults that a test selects. Not thread-safe:
-/// use it on its event loop's thread only.
+/// conditional writes, watches with a history that can be discarded, paged lists, a restore from a copy that begins a new era, and faults
+/// that a test selects. Not thread-safe: use it on its event loop's thread only.
 class MetadataStore
 {
 public:
@@ -51,17 +51,36 @@
     /// @returns the spec of an object as JSON text, or an empty string if there is none
     [[nodiscard]] std::string read(const std::string &kind, const std::string &name) const
     {
-        const auto found = this->objects.find({kind, name});
-        return found == this->objects.end() ? std::string() : found->second.at(platform::names::spec).dump();
+        const auto found = this->state.objects.find({kind, name});
+        return found == this->state.objects.end() ? std::string() : found->second.at(platform::names::spec).dump();
     }
 
     /// Discards the change history and ends pending watches with 410.
     void discardHistory()
     {
-        this->history.clear();
-        this->oldestRevision = this->revision;
+        this->state.history.clear();
+        this->state.oldestRevision = this->state.revision;
         for (auto &pending : std::exchange(this->watches, {})) {
-            pending.exchange->respond({410, {}, "{}"});
+            this->respond(*pending.exchange, 410, "{}");
+        }
+    }
+
+    /// Keeps a copy of all objects and of the history, from which the store can be restored.
+    void copy()
+    {
+        this->backup = this->state;
+    }
+
+    /// Goes back to the copy and begins a new era; revisions continue from the copy's.
+    /// @param watchesGoOn whether pending watches wait on, for a change after their revision by the new count; otherwise they end with 410
+    void restore(bool watchesGoOn)
+    {
+        this->state = this->backup;
+        ++this->era;
+        if (!watchesGoOn) {
+            for (auto &pending : std::exchange(this->watches, {})) {
+                this->respond(*pending.exchange, 410, "{}");
+            }
         }
     }
 
@@ -76,6 +95,7 @@
     int calls = 0;
     int writes = 0;
     int watchCalls = 0;
+    int listCalls = 0;
 
 private:
     using Key = std::pair<std::string, std::string>;
@@ -95,11 +115,25 @@
         int number = 0;
     };
 
+    /// Everything that a copy keeps.
+    struct State
+    {
+        std::map<Key, nlohmann::json> objects;
+        std::deque<Change> history;
+        std::uint64_t revision = 1;
+        std::uint64_t oldestRevision = 0; // lowest revision from which a watch may start
+    };
+
+    void respond(net::HttpExchange &exchange, int status, const std::string &body) const
+    {
+        exchange.respond({status, {{std::string(platform::names::storeEra), std::to_string(this->era)}}, body});
+    }
+
     void handle(std::shared_ptr<net::HttpExchange> exchange)
     {
         ++this->calls;
         if (this->fault == Fault::Busy) {
-            exchange->respond({503, {}, "{}"});
+            this->respond(*exchange, 503, "{}");
             return;
         }
         if (this->fault == Fault::Unresponsive) {
@@ -121,17 +155,18 @@
             ++this->watchCalls;
             this->watch({exchange, kind, *after, this->watchCalls});
         } else {
+            ++this->listCalls;
             this->list(*exchange, kind);
         }
     }
 
     void getObject(net::HttpExchange &exchange, const std::string &kind, const std::string &name)
     {
-        const auto found = this->objects.find({kind, name});
-        if (found == this->objects.end()) {
-            exchange.respond({404, {}, "{}"});
+        const auto found = this->state.objects.find({kind, name});
+        if (found == this->state.objects.end()) {
+            this->respond(exchange, 404, "{}");
         } else {
-            exchange.respond({200, {}, found->second.dump()});
+            this->respond(exchange, 200, found->second.dump());
         }
     }
 
@@ -140,20 +175,20 @@
         const auto after = net::findQueryText(exchange.request().query, platform::names::afterParameter);
         auto items = nlohmann::json::array();
         bool hasMore = false;
-        for (auto at = this->objects.upper_bound({kind, after}); at != this->objects.end() && at->first.first == kind; ++at) {
+        for (auto at = this->state.objects.upper_bound({kind, after}); at != this->state.objects.end() && at->first.first == kind; ++at) {
             hasMore = static_cast<int>(items.size()) == this->pageSize;
             if (hasMore) {
                 break;
             }
             items.push_back(at->second);
         }
-        exchange.respond({200, {}, nlohmann::json {{"items", items}, {"HasMore", hasMore}, {"CurrentRev", this->revision}}.dump()});
+        this->respond(exchange, 200, nlohmann::json {{"items", items}, {"HasMore", hasMore}, {"CurrentRev", this->state.revision}}.dump());
     }
 
     void watch(Watch watch)
     {
-        if (watch.after < this->oldestRevision) {
-            watch.exchange->respond({410, {}, "{}"});
+        if (watch.after < this->state.oldestRevision || watch.after > this->state.revision) {
+            this->respond(*watch.exchange, 410, "{}");
         } else if (!this->sendEvents(watch)) {
             const auto wait = net::findQueryNumber(watch.exchange->request().query, platform::names::waitParameter).value_or(0);
             this->loop.callAfter(std::chrono::milliseconds(wait), [this, number = watch.number, held = std::weak_ptr<bool>(this->alive)] {
@@ -171,8 +206,8 @@
         std::erase_if(this->watches, [&](const Watch &watch) {
             const bool isOver = watch.number == number;
             if (isOver) {
-                watch.exchange->respond(
-                    {200, {}, nlohmann::json {{"events", nlohmann::json::array()}, {"CurrentRev", this->revision}}.dump()});
+                this->respond(*watch.exchange, 200,
+                              nlohmann::json {{"events", nlohmann::json::array()}, {"CurrentRev", this->state.revision}}.dump());
             }
             return isOver;
         });
@@ -182,7 +217,7 @@
     bool sendEvents(const Watch &watch)
     {
         auto events = nlohmann::json::array();
-        for (const auto &change : this->history) {
+        for (const auto &change : this->state.history) {
             if (change.kind == watch.kind && change.revision > watch.after) {
                 events.push_back(change.event);
             }
@@ -190,7 +225,7 @@
         if (events.empty()) {
             return false;
         }
-        watch.exchange->respond({200, {}, nlohmann::json {{"events", events}, {"CurrentRev", this->revision}}.dump()});
+        this->respond(*watch.exchange, 200, nlohmann::json {{"events", events}, {"CurrentRev", this->state.revision}}.dump());
         return true;
     }
 
@@ -199,50 +234,49 @@
     {
         const auto body = nlohmann::json::parse(exchange->request().body, nullptr, false);
         const auto name = method == "POST" ? body.at("Metadata").at("Name").get<std::string>() : pathName;
-        const auto found = this->objects.find({kind, name});
-        const bool isPresent = found != this->objects.end();
+        const auto found = this->state.objects.find({kind, name});
+        const bool isPresent = found != this->state.objects.end();
         const auto current = isPresent ? found->second.at("Metadata").at("Revision").get<std::uint64_t>() : 0;
         const auto wanted = body.at("Metadata").value("Revision", std::uint64_t {0});
         if (method == "PUT" && !isPresent) {
-            exchange->respond({404, {}, "{}"});
+            this->respond(*exchange, 404, "{}");
             return;
         }
         const bool isConflict = (method == "POST" && isPresent) || (method == "PUT" && wanted != 0 && wanted != current);
         if (isConflict) {
-            exchange->respond({409, {}, found->second.dump()});
+            this->respond(*exchange, 409, found->second.dump());
             return;
         }
         const auto stored = this->store(kind, name, body.at("Spec"));
         if (this->fault == Fault::AnswerLost) {
             this->unanswered.push_back(exchange);
         } else {
-            exchange->respond({200, {}, stored.dump()});
+            this->respond(*exchange, 200, stored.dump());
         }
     }
 
     nlohmann::json store(const std::string &kind, const std::string &name, nlohmann::json spec)
     {
-        auto &object = this->objects[{kind, name}];
+        auto &object = this->state.objects[{kind, name}];
         const bool isUnchanged = object.is_object() && object.at("Spec") == spec;
         if (isUnchanged) {
             return object;
         }
-        ++this->revision;
-        object = {{"Metadata", {{"Name", name}, {"Revision", this->revision}, {"Finalizers", nlohmann::json::array()}}},
+        ++this->state.revision;
+        object = {{"Metadata", {{"Name", name}, {"Revision", this->state.revision}, {"Finalizers", nlohmann::json::array()}}},
                   {"Spec", std::move(spec)},
                   {"Status", nullptr}};
-        this->history.push_back({this->revision, kind, {{"Object", object}, {"Deleted", false}}});
+        this->state.history.push_back({this->state.revision, kind, {{"Object", object}, {"Deleted", false}}});
         std::erase_if(this->watches, [this](const Watch &watch) { return this->sendEvents(watch); });
         return object;
     }
 
     net::EventLoop &loop;
-    std::map<Key, nlohmann::json> objects;
-    std::deque<Change> history;
+    State state;
+    State backup;
+    std::uint64_t era = 1;
     std::vector<Watch> watches;
     std::vector<std::shared_ptr<net::HttpExchange>> unanswered;
-    std::uint64_t revision = 1;
-    std::uint64_t oldestRevision = 0; // lowest revision from which a watch may start
     std::shared_ptr<bool> alive = std::make_shared<bool>(true); // lets timers that fire after the destruction do nothing
     net::HttpServer server;
 };
