Order records of endpoints by their node's count, and by era before revision

Cause: the directory compared revisions of two eras.

The new discovery tests fail on the old comparison (mutation in place): the_directory_orders_records_of_two_eras and no_order_of_records_undoes_a_departure.

Fix: a record that precedes the known one by its node's own count (incarnation, final states) never replaces it; otherwise the later (era, revision) wins; a record of an earlier era, as nodes that are cut off pass on, must be newer by the count. Records that the restored store lacks stay until their nodes could write them again, then count as gone.

--- a/src/discovery/directory.cpp
+++ b/src/discovery/directory.cpp
@@ -5,27 +5,62 @@
 
 namespace figpulley::discovery
 {
-bool Directory::put(const EndpointRecord &record, std::uint64_t revision, core::TimePoint now)
+namespace
 {
-    const auto deleted = this->deletionRevisions.find(record.node);
-    if (deleted != this->deletionRevisions.end()) {
-        if (revision <= deleted->second) {
+// Records of endpoints that have left for good need no confirmation: nothing is sent to these endpoints, and their nodes may need the
+// records after a restart.
+bool isUnconfirmed(const KnownEndpoint &known, std::uint64_t era)
+{
+    return known.position.era < era && !isFinal(known.record.state);
+}
+} // namespace
+
+// A VM that now belongs to another service counts its incarnations anew.
+bool Directory::isNewer(const EndpointRecord &record, store::Position position, const KnownEndpoint &known)
+{
+    if (position.era < known.position.era) {
+        return precedes(known.record, record);
+    }
+    const bool isOlderByCount = record.service == known.record.service && precedes(record, known.record);
+    return position > known.position && !isOlderByCount;
+}
+
+bool Directory::put(const EndpointRecord &record, store::Position position, core::TimePoint now)
+{
+    const auto deleted = this->deletions.find(record.node);
+    if (deleted != this->deletions.end()) {
+        if (position <= deleted->second) {
+            return false;
+        }
+        this->deletions.erase(deleted);
+    }
+    const auto found = this->nodes.find(record.node);
+    if (found == this->nodes.end()) {
+        // A peer that has not listed the current era yet may know nodes that the restored store has lost.
+        const auto lost = this->lostRecords.find(record.node);
+        const bool isOlderThanLost = lost != this->lostRecords.end() && precedes(record, lost->second);
+        if (position.era < this->listedEra || isOlderThanLost) {
             return false;
         }
-        this->deletionRevisions.erase(deleted);
+        this->lostRecords.erase(record.node);
+        this->nodes[record.node] = {record, position, now, now + std::chrono::milliseconds(record.coldMs)};
+        this->rebuildReadyList(record.service);
+        return true;
+    }
+    auto &known = found->second;
+    if (!isNewer(record, position, known)) {
+        return false;
     }
-    auto &known = this->nodes[record.node];
-    if (known.revision >= revision && known.revision != 0) {
+    known.position = position;
+    if (known.record == record) {
         return false;
     }
-    const bool isNew = known.record.id != record.id || known.record.incarnation != record.incarnation;
     const auto oldService = known.record.service;
-    if (isNew) {
+    if (known.record.id != record.id || known.record.incarnation != record.incarnation) {
         known.knownSince = now;
         known.coldUntil = now + std::chrono::milliseconds(record.coldMs);
     }
     known.record = record;
-    known.revision = revision;
     if (oldService != record.service) {
         this->rebuildReadyList(oldService);
     }
@@ -33,31 +68,55 @@
     return true;
 }
 
-bool Directory::remove(const std::string &node, std::uint64_t revision)
+bool Directory::remove(const std::string &node, store::Position position)
 {
     const auto found = this->nodes.find(node);
-    if (found == this->nodes.end() || found->second.revision > revision) {
+    if (found == this->nodes.end() || found->second.position > position) {
         return false;
     }
     const auto service = found->second.record.service;
     this->nodes.erase(found);
-    this->deletionRevisions[node] = revision;
+    this->deletions[node] = position;
     this->rebuildReadyList(service);
     return true;
 }
 
-void Directory::retain(const std::unordered_set<std::string> &listed, std::uint64_t revision)
+void Directory::retain(const std::unordered_set<std::string> &listed, store::Position position)
 {
     std::vector<std::string> missing;
     for (const auto &[node, known] : this->nodes) {
-        if (!listed.contains(node)) {
+        if (!listed.contains(node) && known.position.era == position.era) {
             missing.push_back(node);
         }
     }
     for (const auto &node : missing) {
-        this->remove(node, revision);
+        this->remove(node, position);
+    }
+    this->deletions.clear();
+    this->listedEra = position.era;
+}
+
+std::size_t Directory::countBefore(std::uint64_t era) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->nodes.begin(), this->nodes.end(), [era](const auto &entry) { return isUnconfirmed(entry.second, era); }));
+}
+
+std::vector<std::string> Directory::removeBefore(std::uint64_t era)
+{
+    std::vector<std::string> removed;
+    for (const auto &[node, known] : this->nodes) {
+        if (isUnconfirmed(known, era)) {
+            removed.push_back(node);
+        }
+    }
+    for (const auto &node : removed) {
+        const auto record = this->nodes.at(node).record;
+        this->nodes.erase(node);
+        this->rebuildReadyList(record.service);
+        this->lostRecords[node] = record;
     }
-    this->deletionRevisions.clear();
+    return removed;
 }
 
 void Directory::rebuildReadyList(const std::string &service)
--- a/src/discovery/directory.h
+++ b/src/discovery/directory.h
@@ -2,6 +2,7 @@
 
 #include "core/time.h"
 #include "discovery/endpointrecord.h"
+#include "store/position.h"
 
 #include <cstdint>
 #include <map>
@@ -17,28 +18,39 @@
 struct KnownEndpoint
 {
     EndpointRecord record;
-    std::uint64_t revision = 0; ///< revision of the object in the store
+    store::Position position; ///< latest position in the store at which this record was read
     core::TimePoint knownSince {}; ///< when this node first read a record of this incarnation
     core::TimePoint coldUntil {}; ///< end of the endpoint's cold start
 };
 
-/// All endpoints that are recorded in the store, by node and by service.
+/// All endpoints that are recorded in the store, by node and by service. A record that precedes
+/// the known one by its node's own count never replaces it, since a restored store may have lost the latest writes and a write may take
+/// effect late. Otherwise the later position wins; a record of an earlier era has to be newer by the node's count.
 class Directory
 {
 public:
-    /// Adds or replaces a node's record. A revision that is not newer than the known one, or than the deletion of the object, is
-    /// ignored.
+    /// Adds or replaces a node's record, unless the known one or the deletion of the object is newer.
+    /// @param position position in the store at which the record was read, here or by a peer
     /// @returns whether the directory has changed
-    bool put(const EndpointRecord &record, std::uint64_t revision, core::TimePoint now);
+    bool put(const EndpointRecord &record, store::Position position, core::TimePoint now);
 
-    /// Removes a node whose object was deleted or cannot be read, unless a newer revision is known.
+    /// Removes a node whose object was deleted or cannot be read, unless a newer position is known.
     /// @returns whether the directory has changed
-    bool remove(const std::string &node, std::uint64_t revision);
+    bool remove(const std::string &node, store::Position position);
 
-    /// Removes the nodes that a complete list does not contain, unless a newer revision of them is known.
+    /// Removes the nodes that a complete list does not contain. Keeps those of which a newer position or one of an earlier era is known:
+    /// what a restore has lost is written again by its node.
     /// @param listed all nodes of the list
-    /// @param revision revision of the store when the list was begun
-    void retain(const std::unordered_set<std::string> &listed, std::uint64_t revision);
+    /// @param position position of the store when the list was begun
+    void retain(const std::unordered_set<std::string> &listed, store::Position position);
+
+    /// Number of records that were last read before an era, except those of endpoints that have left for good. After a list of this era,
+    /// these are the ones that the store has lost.
+    [[nodiscard]] std::size_t countBefore(std::uint64_t era) const;
+
+    /// Removes the nodes that countBefore() counts, since their records were not written again.
+    /// @returns the removed nodes
+    std::vector<std::string> removeBefore(std::uint64_t era);
 
     /// Endpoints of a service that may receive new requests.
     [[nodiscard]] const std::vector<const KnownEndpoint *> &readyEndpoints(std::string_view service) const;
@@ -56,10 +68,13 @@
     [[nodiscard]] std::vector<const KnownEndpoint *> allEndpoints() const;
 
 private:
+    [[nodiscard]] static bool isNewer(const EndpointRecord &record, store::Position position, const KnownEndpoint &known);
     void rebuildReadyList(const std::string &service);
 
     std::map<std::string, KnownEndpoint, std::less<>> nodes;
-    std::map<std::string, std::uint64_t> deletionRevisions; // revision at which the object of each node was deleted
+    std::map<std::string, store::Position> deletions; // position at which the object of each node was deleted
+    std::map<std::string, EndpointRecord> lostRecords; // records that removeBefore() has removed; older ones of their nodes are ignored
+    std::uint64_t listedEra = 0; // era of the last complete list
     std::map<std::string, std::vector<const KnownEndpoint *>, std::less<>> readyByService;
 };
 } // namespace figpulley::discovery
--- a/src/discovery/discovery.h
+++ b/src/discovery/discovery.h
@@ -6,4 +6,5 @@
 #include "discovery/fwd.h"
 #include "discovery/heartbeat.h"
 #include "discovery/localendpoint.h"
+#include "discovery/restorewindow.h"
 #include "discovery/watchers.h"
--- a/src/discovery/endpointrecord.cpp
+++ b/src/discovery/endpointrecord.cpp
@@ -11,6 +11,15 @@
 {
 namespace
 {
+// An incarnation passes from a state of a lower number to one of a higher number, and never back.
+constexpr int finality(EndpointState state) noexcept
+{
+    if (state == EndpointState::Gone) {
+        return 2;
+    }
+    return state == EndpointState::Draining ? 1 : 0;
+}
+
 constexpr std::array<std::string_view, 4> stateNames {"ready", "draining", "gone", "silent"};
 static_assert(stateNames.size() == static_cast<std::size_t>(EndpointState::Silent) + 1, "every state has a name");
 
@@ -40,6 +49,14 @@
     return stateNames[static_cast<std::size_t>(state)];
 }
 
+bool precedes(const EndpointRecord &earlier, const EndpointRecord &later) noexcept
+{
+    if (earlier.incarnation != later.incarnation) {
+        return earlier.incarnation < later.incarnation;
+    }
+    return earlier.id == later.id && finality(earlier.state) < finality(later.state);
+}
+
 std::string encode(const EndpointRecord &record)
 {
     return nlohmann::json {
--- a/src/discovery/endpointrecord.h
+++ b/src/discovery/endpointrecord.h
@@ -47,6 +47,10 @@
     [[nodiscard]] bool operator==(const EndpointRecord &) const = default;
 };
 
+/// Whether a record is older than another one by what the endpoint's node itself counts: it is of an earlier incarnation, or of the same
+/// incarnation before the state that the other one has reached for good. This order holds whatever revisions the store gives.
+[[nodiscard]] bool precedes(const EndpointRecord &earlier, const EndpointRecord &later) noexcept;
+
 /// Encodes a record as JSON.
 [[nodiscard]] std::string encode(const EndpointRecord &record);
 
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -1,6 +1,7 @@
 #include "mesh/meshnode.h"
 
 #include "core/log.h"
+#include "discovery/restorewindow.h"
 #include "discovery/watchers.h"
 #include "mesh/conditionheader.h"
 #include "mesh/wireformat.h"
@@ -83,6 +84,7 @@
 {
     this->loop.cancel(this->loadTimer);
     this->loop.cancel(this->stopTimer);
+    this->loop.cancel(this->removalTimer);
 }
 
 // The timeout grows with the number of nodes that share the zone's rate of watches. A watcher counts only the zone's
@@ -141,14 +143,17 @@
 
     CollectionListener endpoints;
     endpoints.onItem = [this](const store::CollectionItem &item) {
+        const store::Position position {this->eraCheckedStore.era().current(), item.revision};
         if (item.isDeleted) {
-            this->directoryUpdater.remove(item.name, item.revision);
+            this->directoryUpdater.remove(item.name, position);
         } else {
-            this->directoryUpdater.put(item.name, item.content, item.revision, core::steadyNow());
+            this->directoryUpdater.put(item.name, item.content, position, core::steadyNow());
         }
     };
     endpoints.onListed = [this](const std::unordered_set<std::string> &names, std::uint64_t revision) {
-        this->directoryUpdater.retain(names, revision);
+        const store::Position position {this->eraCheckedStore.era().current(), revision};
+        this->directoryUpdater.retain(names, position);
+        this->scheduleRemovalOfLost(position.era);
     };
     this->endpointsFollower = this->follow(LocalRegistrar::collection, endpoints, endpointChangeDelay);
     this->registrar->start();
@@ -179,6 +184,23 @@
     this->endpointsFollower->followEra(era);
 }
 
+// Gives the owners of records that a restore has lost the time to write them again.
+void MeshNode::scheduleRemovalOfLost(std::uint64_t era)
+{
+    const auto lost = this->boardSections.directory.read().countBefore(era);
+    if (lost == 0 || this->awaitedEra == era) {
+        return;
+    }
+    this->awaitedEra = era;
+    core::log(core::LogLevel::Info, "store.records_missing", {{"era", fmt::to_string(era)}, {"records", fmt::to_string(lost)}});
+    this->loop.cancel(this->removalTimer);
+    this->removalTimer = this->loop.callAfter(discovery::confirmationTime(lost), [this, era] {
+        this->removalTimer = net::EventLoop::noTimer;
+        this->awaitedEra = 0;
+        this->directoryUpdater.removeLost(era);
+    });
+}
+
 void MeshNode::reportLoad()
 {
     const auto busyFraction = this->loop.takeBusyFraction();
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -47,6 +47,7 @@
 private:
     void checkStop();
     void reportLoad();
+    void scheduleRemovalOfLost(std::uint64_t era);
     void handleStoreRestored(std::uint64_t earlierEra, std::uint64_t era);
     [[nodiscard]] std::size_t inFlight() const noexcept;
     [[nodiscard]] std::shared_ptr<CollectionFollower> follow(const std::string &collection, const CollectionListener &listener,
@@ -78,5 +79,7 @@
     std::uint64_t restoresSeen = 0;
     net::EventLoop::TimerId loadTimer = net::EventLoop::noTimer;
     net::EventLoop::TimerId stopTimer = net::EventLoop::noTimer;
+    net::EventLoop::TimerId removalTimer = net::EventLoop::noTimer;
+    std::uint64_t awaitedEra = 0; // era in which lost records are awaited; 0 if none are
 };
 } // namespace figpulley::mesh
--- a/src/mesh/snapshotexchange.cpp
+++ b/src/mesh/snapshotexchange.cpp
@@ -49,7 +49,8 @@
 {
     auto endpoints = nlohmann::json::array();
     for (const auto *known : this->context.board.directory.read().allEndpoints()) {
-        endpoints.push_back({{"revision", known->revision}, {"record", discovery::encode(known->record)}});
+        endpoints.push_back(
+            {{"era", known->position.era}, {"revision", known->position.revision}, {"record", discovery::encode(known->record)}});
     }
     return nlohmann::json {{"config", this->context.board.config.read().source}, {"endpoints", std::move(endpoints)}}.dump(
         -1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -69,7 +70,8 @@
         for (const auto &entry : object.at("endpoints")) {
             const auto text = entry.at("record").get<std::string>();
             if (const auto record = discovery::decodeEndpointRecord(text)) {
-                this->directory.put(recordName(record->node), text, entry.at("revision").get<std::uint64_t>(), now);
+                const store::Position position {entry.value("era", std::uint64_t {0}), entry.at("revision").get<std::uint64_t>()};
+                this->directory.put(recordName(record->node), text, position, now);
             }
         }
     } catch (const nlohmann::json::exception &error) {
--- a/src/mesh/updaters.cpp
+++ b/src/mesh/updaters.cpp
@@ -76,21 +76,23 @@
 {
 }
 
-void DirectoryUpdater::put(const std::string &name, std::string_view text, std::uint64_t revision, core::TimePoint now)
+void DirectoryUpdater::put(const std::string &name, std::string_view text, store::Position position, core::TimePoint now)
 {
     const auto record = discovery::decodeEndpointRecord(text);
     if (!record || record->node != nodeOfRecord(name)) {
-        core::log(core::LogLevel::Warning, "endpoint.unreadable", {{"name", name}, {"revision", fmt::to_string(revision)}});
-        this->remove(name, revision);
+        core::log(core::LogLevel::Warning, "endpoint.unreadable",
+                  {{"name", name}, {"revision", fmt::to_string(position.revision)}, {"era", fmt::to_string(position.era)}});
+        this->remove(name, position);
         return;
     }
-    if (this->board.directory.write().put(*record, revision, now)) {
+    if (this->board.directory.write().put(*record, position, now)) {
         core::log(core::LogLevel::Info, "endpoint.known",
                   {{"node", record->node},
                    {"endpoint", record->id},
                    {"service", record->service},
                    {"state", std::string(discovery::name(record->state))},
-                   {"revision", fmt::to_string(revision)}});
+                   {"revision", fmt::to_string(position.revision)},
+                   {"era", fmt::to_string(position.era)}});
         return;
     }
     const auto *known = this->board.directory.read().find(record->node);
@@ -99,26 +101,38 @@
                   {{"node", record->node},
                    {"endpoint", record->id},
                    {"state", std::string(discovery::name(record->state))},
-                   {"revision", fmt::to_string(revision)},
+                   {"revision", fmt::to_string(position.revision)},
+                   {"era", fmt::to_string(position.era)},
+                   {"known_endpoint", known->record.id},
                    {"known_state", std::string(discovery::name(known->record.state))},
-                   {"known_revision", fmt::to_string(known->revision)}});
+                   {"known_revision", fmt::to_string(known->position.revision)},
+                   {"known_era", fmt::to_string(known->position.era)}});
     }
 }
 
-void DirectoryUpdater::remove(const std::string &name, std::uint64_t revision)
+void DirectoryUpdater::remove(const std::string &name, store::Position position)
 {
     const auto node = nodeOfRecord(name);
-    if (this->board.directory.write().remove(node, revision)) {
-        core::log(core::LogLevel::Info, "endpoint.forgotten", {{"node", node}, {"revision", fmt::to_string(revision)}});
+    if (this->board.directory.write().remove(node, position)) {
+        core::log(core::LogLevel::Info, "endpoint.forgotten",
+                  {{"node", node}, {"revision", fmt::to_string(position.revision)}, {"era", fmt::to_string(position.era)}});
     }
 }
 
-void DirectoryUpdater::retain(const std::unordered_set<std::string> &names, std::uint64_t revision)
+void DirectoryUpdater::retain(const std::unordered_set<std::string> &names, store::Position position)
 {
     std::unordered_set<std::string> nodes;
     for (const auto &name : names) {
         nodes.insert(nodeOfRecord(name));
     }
-    this->board.directory.write().retain(nodes, revision);
+    this->board.directory.write().retain(nodes, position);
+}
+
+void DirectoryUpdater::removeLost(std::uint64_t era)
+{
+    for (const auto &node : this->board.directory.write().removeBefore(era)) {
+        core::log(core::LogLevel::Info, "endpoint.forgotten",
+                  {{"node", node}, {"era", fmt::to_string(era)}, {"cause", "lost in a restore"}});
+    }
 }
 } // namespace figpulley::mesh
--- a/src/mesh/updaters.h
+++ b/src/mesh/updaters.h
@@ -2,6 +2,7 @@
 
 #include "mesh/meshboard.h"
 #include "mesh/wireformat.h"
+#include "store/position.h"
 
 #include <cstdint>
 #include <functional>
@@ -39,13 +40,17 @@
 
     /// Stores a record that was read or has changed. An unreadable record removes its node from the directory.
     /// @param name name of the record's object
-    void put(const std::string &name, std::string_view text, std::uint64_t revision, core::TimePoint now);
+    void put(const std::string &name, std::string_view text, store::Position position, core::TimePoint now);
 
     /// Removes the node of an object that was deleted.
-    void remove(const std::string &name, std::uint64_t revision);
+    void remove(const std::string &name, store::Position position);
 
     /// Removes the nodes that a complete list does not name.
-    void retain(const std::unordered_set<std::string> &names, std::uint64_t revision);
+    void retain(const std::unordered_set<std::string> &names, store::Position position);
+
+    /// Removes the nodes whose records the store lost in a restore and that were not written again.
+    /// @param era era since which they would have been read
+    void removeLost(std::uint64_t era);
 
 private:
     MeshBoard &board;
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -1,8 +1,10 @@
 #include "support/story.h"
 
+#include "core/random.h"
 #include "discovery/discovery.h"
 
 #include <chrono>
+#include <unordered_set>
 
 using namespace figpulley;
 using namespace std::chrono_literals;
@@ -169,20 +171,110 @@
 {
     tests::Story story;
     discovery::Directory directory;
-    story.check(directory.put(recordOf(100, EndpointState::Ready), 5, after(0s)), "a new record to be added");
-    story.check(!directory.put(recordOf(100, EndpointState::Draining), 4, after(0s)), "an older revision to be ignored");
+    story.check(directory.put(recordOf(100, EndpointState::Ready), {1, 5}, after(0s)), "a new record to be added");
+    story.check(!directory.put(recordOf(100, EndpointState::Draining), {1, 4}, after(0s)), "an older revision to be ignored");
     story.equal(directory.readyEndpoints("motivi").size(), 1U, "the endpoint to be ready");
-    story.check(directory.put(recordOf(100, EndpointState::Draining), 6, after(0s)), "a newer revision to replace the record");
+    story.check(directory.put(recordOf(100, EndpointState::Draining), {1, 6}, after(0s)), "a newer revision to replace the record");
     story.equal(directory.readyEndpoints("motivi").size(), 0U, "no ready endpoint while it drains");
-    story.check(directory.remove("10.0.0.1:8300", 7), "the node to be removed");
-    story.check(!directory.put(recordOf(100, EndpointState::Ready), 6, after(0s)), "a revision older than the deletion to be ignored");
-    story.check(directory.put(recordOf(200, EndpointState::Ready), 9, after(0s)), "a revision newer than the deletion to be added");
-    directory.retain({}, 8);
+    story.check(directory.remove("10.0.0.1:8300", {1, 7}), "the node to be removed");
+    story.check(!directory.put(recordOf(100, EndpointState::Ready), {1, 6}, after(0s)), "a revision older than the deletion to be ignored");
+    story.check(directory.put(recordOf(200, EndpointState::Ready), {1, 9}, after(0s)), "a revision newer than the deletion to be added");
+    directory.retain({}, {1, 8});
     story.equal(directory.readyEndpoints("motivi").size(), 1U, "an empty list that was begun before the record to keep it");
-    directory.retain({}, 10);
+    directory.retain({}, {1, 10});
     story.equal(directory.readyEndpoints("motivi").size(), 0U, "an empty list that was begun after the record to remove it");
 }
 
+// Guards against records written after a restore that are dropped since their revisions are smaller than those known before it, and
+// against a restored or a late record that undoes a departure.
+Test(discovery, the_directory_orders_records_of_two_eras)
+{
+    tests::Story story;
+    const std::string node = "10.0.0.1:8300";
+    const std::unordered_set<std::string> listed {node};
+    const auto stateOf = [&](const discovery::Directory &directory) { return directory.find(node)->record.state; };
+    story.section("the owner writes after the restore", [&] {
+        discovery::Directory directory;
+        directory.put(recordOf(100, EndpointState::Draining), {1, 18}, after(0s));
+        story.check(directory.put(recordOf(100, EndpointState::Gone), {2, 17}, after(1s)), "a smaller revision of the next era to count");
+        story.check(!directory.put(recordOf(100, EndpointState::Draining), {1, 18}, after(2s)),
+                    "the earlier era, from a node that has not noticed, to be ignored");
+        story.check(directory.put(recordOf(200, EndpointState::Ready), {2, 19}, after(3s)), "the next incarnation to count");
+    });
+    story.section("the restored store has the record of before the departure", [&] {
+        discovery::Directory directory;
+        directory.put(recordOf(100, EndpointState::Draining), {1, 18}, after(0s));
+        story.check(!directory.put(recordOf(100, EndpointState::Ready), {2, 5}, after(1s)), "it to be ignored");
+        story.equal(directory.readyEndpoints("motivi").size(), 0U, "the endpoint not to be ready");
+        directory.retain(listed, {2, 6});
+        story.check(directory.removeBefore(2).empty(), "the departure to be kept");
+        story.check(!directory.put(recordOf(100, EndpointState::Silent), {2, 7}, after(1s)), "it not to become silent");
+        story.check(directory.put(recordOf(100, EndpointState::Draining), {2, 8}, after(2s))
+                        || stateOf(directory) == EndpointState::Draining,
+                    "the record that its owner writes again to be taken");
+        story.check(directory.put(recordOf(100, EndpointState::Gone), {2, 9}, after(2s)), "its later changes to count");
+    });
+    story.section("the restored store has an earlier incarnation", [&] {
+        discovery::Directory directory;
+        directory.put(recordOf(200, EndpointState::Ready, "i-2"), {1, 18}, after(0s));
+        story.check(!directory.put(recordOf(100, EndpointState::Draining), {2, 5}, after(1s)), "it to be ignored");
+        story.equal(directory.readyEndpoints("motivi").size(), 1U, "the later incarnation to stay ready");
+    });
+    story.section("a node of the earlier era knows a later incarnation", [&] {
+        discovery::Directory directory;
+        directory.put(recordOf(100, EndpointState::Ready), {2, 5}, after(0s));
+        directory.retain(listed, {2, 6});
+        story.check(directory.put(recordOf(200, EndpointState::Ready, "i-2"), {1, 18}, after(1s)), "it to be taken");
+        story.check(directory.put(recordOf(200, EndpointState::Draining, "i-2"), {1, 19}, after(1s)), "its departure to be taken");
+    });
+    story.section("the restored store lacks the record", [&] {
+        discovery::Directory directory;
+        directory.put(recordOf(100, EndpointState::Ready), {1, 18}, after(0s));
+        directory.retain({}, {2, 6});
+        story.equal(directory.readyEndpoints("motivi").size(), 1U, "the endpoint to stay until its node could write the record again");
+        story.equal(directory.countBefore(2), 1U, "its record to count as lost");
+        story.equal(directory.removeBefore(2).size(), 1U, "it to be removed afterwards");
+        story.equal(directory.readyEndpoints("motivi").size(), 0U, "no ready endpoint");
+        story.check(!directory.put(recordOf(100, EndpointState::Ready), {1, 18}, after(5s)),
+                    "a node of the earlier era not to bring it back");
+        story.check(directory.put(recordOf(100, EndpointState::Ready), {2, 7}, after(6s)), "a late write of its node to bring it back");
+    });
+    story.section("the restored store has the same record", [&] {
+        discovery::Directory directory;
+        directory.put(recordOf(100, EndpointState::Ready), {1, 4}, after(0s));
+        story.check(!directory.put(recordOf(100, EndpointState::Ready), {2, 4}, after(1s)), "nothing to change");
+        story.equal(directory.countBefore(2), 0U, "the record to be confirmed");
+    });
+    story.section("a write of before the departure takes effect late", [&] {
+        discovery::Directory directory;
+        directory.put(recordOf(100, EndpointState::Draining), {1, 18}, after(0s));
+        story.check(!directory.put(recordOf(100, EndpointState::Ready), {1, 20}, after(1s)), "it to be ignored");
+    });
+}
+
+// Guards against a departure that any order of lists, late writes and snapshots of several eras undoes.
+Test(discovery, no_order_of_records_undoes_a_departure)
+{
+    tests::holds("an incarnation that has left never becomes ready again", [] {
+        core::Random random(*rc::gen::arbitrary<std::uint32_t>());
+        const auto draw = [&random](std::uint64_t low, std::uint64_t high) { return low + random() % (high - low + 1); };
+        discovery::Directory directory;
+        std::int64_t departed = 0;
+        for (int step = 0; step < 40; ++step) {
+            const store::Position position {draw(1, 3), draw(1, 30)};
+            const auto state = static_cast<EndpointState>(draw(0, static_cast<std::uint64_t>(EndpointState::Silent)));
+            directory.put(recordOf(static_cast<std::int64_t>(draw(1, 3)), state), position, after(std::chrono::seconds(step)));
+            directory.removeBefore(draw(1, 3));
+            const auto *known = directory.find("10.0.0.1:8300");
+            if (known != nullptr && discovery::isFinal(known->record.state)) {
+                departed = known->record.incarnation;
+            }
+            const bool isReadyAgain = known != nullptr && known->record.incarnation == departed && !discovery::isFinal(known->record.state);
+            RC_ASSERT(!isReadyAgain);
+        }
+    });
+}
+
 Test(discovery, valid_records_are_decoded_and_others_rejected)
 {
     tests::holds("a decoded record equals the encoded one", [] {
@@ -218,7 +310,7 @@
             record.service = "motivi";
             record.zone = number % 2 == 0 ? "mineo" : "vizzini";
             record.incarnation = 1;
-            directory.put(record, static_cast<std::uint64_t>(number) + 1, core::TimePoint {} + 1h);
+            directory.put(record, {1, static_cast<std::uint64_t>(number) + 1}, core::TimePoint {} + 1h);
         }
         return directory;
     };
@@ -235,7 +327,7 @@
         auto changed = directory;
         auto record = changed.find(first.front())->record;
         record.state = discovery::EndpointState::Draining;
-        changed.put(record, 10'000, core::TimePoint {} + 2h);
+        changed.put(record, {1, 10'000}, core::TimePoint {} + 2h);
         const auto after = discovery::selectWatchers(changed, "mineo", "10.0.0.2:80");
         story.check(std::find(after.begin(), after.end(), first.front()) == after.end(), "the draining node not to be a watcher");
         story.equal(after.size(), first.size(), "another node to replace the draining watcher");
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -89,9 +89,9 @@
     core::Random random(1);
     discovery::Directory directory;
     const auto now = after(0s);
-    directory.put(endpointOf("10.0.0.1:1", "motivi", "caltagirone"), 1, now);
-    directory.put(endpointOf("10.0.0.2:1", "motivi", "mineo"), 2, now);
-    directory.put(endpointOf("10.0.0.3:1", "commesse", "caltagirone"), 3, now);
+    directory.put(endpointOf("10.0.0.1:1", "motivi", "caltagirone"), {1, 1}, now);
+    directory.put(endpointOf("10.0.0.2:1", "motivi", "mineo"), {1, 2}, now);
+    directory.put(endpointOf("10.0.0.3:1", "commesse", "caltagirone"), {1, 3}, now);
     story.section("all endpoints are idle", [&] {
         const routing::EndpointPicker picker;
         for (int at = 0; at < 20; ++at) {
@@ -145,8 +145,8 @@
     discovery::Directory directory;
     const auto now = after(0s);
     const auto own = endpointOf("10.0.0.1:1", "motivi", "caltagirone");
-    directory.put(own, 1, now);
-    directory.put(endpointOf("10.0.0.2:1", "motivi", "mineo"), 2, now);
+    directory.put(own, {1, 1}, now);
+    directory.put(endpointOf("10.0.0.2:1", "motivi", "mineo"), {1, 2}, now);
     const auto &known = *directory.find("10.0.0.1:1");
     const auto condition = [&](std::optional<double> limit, double utilization, core::Duration availableIn, bool isLeaving) {
         return routing::EndpointCondition {own.id, own.incarnation, limit, utilization, availableIn, isLeaving};
@@ -181,7 +181,7 @@
                     "no endpoint if all others are excluded");
         auto next = own;
         next.incarnation += 1;
-        directory.put(next, 3, now);
+        directory.put(next, {1, 3}, now);
         story.equal(pickOnce(picker, directory, now + 1h, random), std::string("10.0.0.1:1"), "the next incarnation");
         story.check(picker.knownCondition(*directory.find("10.0.0.1:1")) == nullptr, "nothing to be known about the next incarnation");
     });
