Write the record of the endpoint again when a restore of the store has lost it

Cause: a write that was acknowledged counted as stored for good. Its node wrote again only on the next change of the endpoint.

Evidence: with confirmRecord() disabled, mesh records_that_a_restore_has_lost_are_written_again fails ('the condition did not hold within 10 s': the restored store keeps the record of before the departure). With it, both restores cost one write a lost record and no other.

Fix: the node compares its record with what the collection shows at the end of each list and watch. The list itself comes through the zone's watcher, so a record that survived costs no call.

--- a/src/discovery/endpointrecord.cpp
+++ b/src/discovery/endpointrecord.cpp
@@ -57,6 +57,12 @@
     return earlier.id == later.id && finality(earlier.state) < finality(later.state);
 }
 
+bool statesSame(const EndpointRecord &left, const EndpointRecord &right) noexcept
+{
+    return left.id == right.id && left.incarnation == right.incarnation && left.state == right.state && left.slots == right.slots
+        && left.version == right.version && left.service == right.service;
+}
+
 std::string encode(const EndpointRecord &record)
 {
     return nlohmann::json {
--- a/src/discovery/endpointrecord.h
+++ b/src/discovery/endpointrecord.h
@@ -51,6 +51,10 @@
 /// incarnation before the state that the other one has reached for good. This order holds whatever revisions the store gives.
 [[nodiscard]] bool precedes(const EndpointRecord &earlier, const EndpointRecord &later) noexcept;
 
+/// Whether two records state the same of an endpoint. The sequence number and the remaining cold start change with every heartbeat and do
+/// not count.
+[[nodiscard]] bool statesSame(const EndpointRecord &left, const EndpointRecord &right) noexcept;
+
 /// Encodes a record as JSON.
 [[nodiscard]] std::string encode(const EndpointRecord &record);
 
--- a/src/discovery/localendpoint.cpp
+++ b/src/discovery/localendpoint.cpp
@@ -59,8 +59,7 @@
     }
     // The remaining cold start and the sequence number change with every heartbeat, so other nodes are notified only of a new state,
     // number of slots or version.
-    const bool isSame = !isNew && next.state == this->known->state && next.slots == this->known->slots
-        && next.version == this->known->version && next.service == this->known->service;
+    const bool isSame = this->known && statesSame(next, *this->known);
     this->known = std::move(next);
     return isSame ? UpdateResult::Unchanged : UpdateResult::Changed;
 }
@@ -126,9 +125,7 @@
         this->known->state = stored->state;
         return false;
     }
-    const bool isStored = isSameIncarnation && stored->state == this->known->state && stored->slots == this->known->slots
-        && stored->version == this->known->version;
-    return !isStored;
+    return !statesSame(*stored, *this->known);
 }
 
 bool LocalEndpoint::checkHeartbeatTimeout(core::Duration timeout, core::TimePoint now)
--- a/src/mesh/localregistrar.cpp
+++ b/src/mesh/localregistrar.cpp
@@ -1,6 +1,7 @@
 #include "mesh/localregistrar.h"
 
 #include "core/log.h"
+#include "discovery/restorewindow.h"
 #include "mesh/meshboard.h"
 #include "mesh/meshsettings.h"
 #include "mesh/updaters.h"
@@ -80,8 +81,8 @@
         return;
     }
     this->failureCount = 0;
-    this->isStoredRevisionKnown = true;
-    this->storedRevision = result.kind == ErrorKind::None ? result.item.revision : 0;
+    this->isStoredPositionKnown = true;
+    this->storedPosition = {result.era, result.kind == ErrorKind::None ? result.item.revision : 0};
     const auto stored =
         result.kind == ErrorKind::None ? discovery::decodeEndpointRecord(result.item.content) : std::optional<discovery::EndpointRecord> {};
     auto &local = this->context.board.local.write();
@@ -183,7 +184,7 @@
 
 void LocalRegistrar::writeRecord()
 {
-    if (this->isWriting || !this->isStoredRevisionKnown || this->writtenChange >= this->latestChange) {
+    if (this->isWriting || !this->isStoredPositionKnown || this->writtenChange >= this->latestChange) {
         return;
     }
     const auto &record = this->context.board.local.read().record();
@@ -192,7 +193,7 @@
     }
     this->isWriting = true;
     const auto change = this->latestChange;
-    this->context.store.put(collection, recordName(record->node), discovery::encode(*record), this->storedRevision,
+    this->context.store.put(collection, recordName(record->node), discovery::encode(*record), this->storedPosition.revision,
                             [weak = this->weak_from_this(), change](const store::ItemResult &result) {
                                 if (const auto self = weak.lock()) {
                                     self->isWriting = false;
@@ -208,7 +209,7 @@
     switch (result.kind) {
     case ErrorKind::None:
         this->failureCount = 0;
-        this->storedRevision = result.item.revision;
+        this->storedPosition = {result.era, result.item.revision};
         this->writtenChange = change;
         this->acknowledgeUpTo(change);
         this->writeRecord();
@@ -218,7 +219,7 @@
         break;
     default:
         core::log(core::LogLevel::Warning, "endpoint.record_unsettled", {{"kind", std::string(core::errorProperties(result.kind).name)}});
-        this->isStoredRevisionKnown = false;
+        this->isStoredPositionKnown = false;
         this->readStoredRecord();
         break;
     }
@@ -230,6 +231,34 @@
     this->runAfter(std::min(maxBackoff, minBackoff * (1 << this->failureCount)), [](LocalRegistrar &self) { self.writeRecord(); });
 }
 
+void LocalRegistrar::confirmRecord(const std::optional<discovery::EndpointRecord> &stored, store::Position position)
+{
+    const auto &record = this->context.board.local.read().record();
+    const bool isSettled = this->isStoredPositionKnown && !this->isWriting && !this->isReading && this->writtenChange >= this->latestChange;
+    if (!record || !isSettled || this->isRewriteScheduled || position < this->storedPosition) {
+        return;
+    }
+    if (stored && discovery::statesSame(*stored, *record)) {
+        return;
+    }
+    const auto lost = this->context.board.directory.read().countBefore(position.era);
+    const auto delay = std::chrono::duration_cast<core::Duration>(discovery::rewriteWindow(lost) * core::uniform(this->context.random));
+    core::log(core::LogLevel::Warning, "endpoint.record_lost",
+              {{"endpoint", record->id},
+               {"state", std::string(discovery::name(record->state))},
+               {"written_revision", fmt::to_string(this->storedPosition.revision)},
+               {"written_era", fmt::to_string(this->storedPosition.era)},
+               {"stored_state", stored ? std::string(discovery::name(stored->state)) : std::string("none")},
+               {"era", fmt::to_string(position.era)},
+               {"rewrite_after_ms", fmt::to_string(core::toMilliseconds(delay))}});
+    this->isRewriteScheduled = true;
+    this->runAfter(delay, [](LocalRegistrar &self) {
+        self.isRewriteScheduled = false;
+        self.isStoredPositionKnown = false;
+        self.readStoredRecord();
+    });
+}
+
 void LocalRegistrar::scheduleHeartbeatCheck()
 {
     const auto interval = this->context.settings.heartbeatInterval;
--- a/src/mesh/localregistrar.h
+++ b/src/mesh/localregistrar.h
@@ -2,17 +2,20 @@
 
 #include "mesh/meshcontext.h"
 
+#include "discovery/endpointrecord.h"
 #include "discovery/heartbeat.h"
+#include "store/position.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace figpulley::mesh
 {
 /// Receives the heartbeats of the endpoint on this VM and keeps its record in the store. A departure is recorded before it is
 /// acknowledged, so that a restarted node knows of it. While the store is unavailable it is nevertheless acknowledged after a short wait,
-/// since the endpoint exits anyway.
+/// since the endpoint exits anyway. What a restore of the store has lost is written again.
 class LocalRegistrar : public std::enable_shared_from_this<LocalRegistrar>
 {
 public:
@@ -35,6 +38,11 @@
     /// Processes a response of the endpoint that states that it is leaving.
     void handleLeavingResponse(const std::string &endpointId, std::int64_t incarnation);
 
+    /// Compares the record with what the collection has shown of it, and writes it again if the store has lost it or holds another one.
+    /// @param stored record in the store; nothing if there is none or it cannot be read
+    /// @param position position up to which all changes of the collection were seen
+    void confirmRecord(const std::optional<discovery::EndpointRecord> &stored, store::Position position);
+
     /// Name of the collection that holds the records of all endpoints.
     static constexpr const char *collection = "figpulley-endpoints";
 
@@ -62,9 +70,10 @@
     std::vector<PendingAcknowledgement> pendingAcknowledgements;
     std::uint64_t latestChange = 0; // number of the latest change of the record
     std::uint64_t writtenChange = 0; // number of the latest change that is in the store
-    std::uint64_t storedRevision = 0; // revision of the object in the store
+    store::Position storedPosition; // position of the object in the store; revision 0 if there is none
     int failureCount = 0;
-    bool isStoredRevisionKnown = false; // storedRevision is up to date, as far as the node knows
+    bool isStoredPositionKnown = false; // storedPosition is up to date, as far as the node knows
+    bool isRewriteScheduled = false;
     bool isWriting = false;
     bool isReading = false;
 };
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -106,7 +106,10 @@
 {
     auto &log = this->changes.changeLog(collection);
     CollectionListener loggingListener;
-    loggingListener.onListBegun = [&log](std::uint64_t era) { log.beginList(era); };
+    loggingListener.onListBegun = [listener, &log](std::uint64_t era) {
+        listener.onListBegun(era);
+        log.beginList(era);
+    };
     loggingListener.onItem = [listener, &log](const store::CollectionItem &item) {
         listener.onItem(item);
         log.put(item);
@@ -115,7 +118,8 @@
         listener.onListed(names, revision);
         log.reset(names, revision);
     };
-    loggingListener.onCaughtUp = [this, collection, &log](std::uint64_t revision) {
+    loggingListener.onCaughtUp = [this, listener, collection, &log](std::uint64_t revision) {
+        listener.onCaughtUp(revision);
         log.advance(revision);
         this->changes.answerWaiters(collection);
     };
@@ -138,12 +142,19 @@
             this->configUpdater.activateIfNewer(item.content, "store", core::steadyNow());
         }
     };
+    routes.onListBegun = [](std::uint64_t) {};
     routes.onListed = [](const std::unordered_set<std::string> &, std::uint64_t) {};
+    routes.onCaughtUp = [](std::uint64_t) {};
     this->routesFollower = this->follow(this->wire.routesCollection(), routes, core::Duration {});
 
     CollectionListener endpoints;
+    endpoints.onListBegun = [this](std::uint64_t /*era*/) { this->storedOwnRecord.reset(); };
     endpoints.onItem = [this](const store::CollectionItem &item) {
         const store::Position position {this->eraCheckedStore.era().current(), item.revision};
+        if (item.name == recordName(this->settings.ingress.toString())) {
+            this->storedOwnRecord =
+                item.isDeleted ? std::optional<discovery::EndpointRecord> {} : discovery::decodeEndpointRecord(item.content);
+        }
         if (item.isDeleted) {
             this->directoryUpdater.remove(item.name, position);
         } else {
@@ -155,6 +166,9 @@
         this->directoryUpdater.retain(names, position);
         this->scheduleRemovalOfLost(position.era);
     };
+    endpoints.onCaughtUp = [this](std::uint64_t revision) {
+        this->registrar->confirmRecord(this->storedOwnRecord, {this->eraCheckedStore.era().current(), revision});
+    };
     this->endpointsFollower = this->follow(LocalRegistrar::collection, endpoints, endpointChangeDelay);
     this->registrar->start();
     this->reportLoad();
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -16,6 +16,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace figpulley::mesh
 {
@@ -76,6 +77,7 @@
     std::shared_ptr<CollectionFollower> routesFollower;
     std::shared_ptr<CollectionFollower> endpointsFollower;
     std::function<void(std::size_t)> onStopped;
+    std::optional<discovery::EndpointRecord> storedOwnRecord; // record of this VM's endpoint as the collection has shown it
     std::uint64_t restoresSeen = 0;
     net::EventLoop::TimerId loadTimer = net::EventLoop::noTimer;
     net::EventLoop::TimerId stopTimer = net::EventLoop::noTimer;
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -481,6 +481,50 @@
     }
 }
 
+// Guards against records that a restore has lost and that nobody writes again, so that a node which starts later misses an endpoint or
+// sends requests to one that has left.
+Test(mesh, records_that_a_restore_has_lost_are_written_again)
+{
+    tests::Story story;
+    tests::MeshTestbed bed;
+    bed.publish();
+    for (const auto *name : {"m1", "m2", "m3"}) {
+        bed.add(name, "motivi");
+    }
+    bed.heartbeat("m1", 1);
+    bed.heartbeat("m2", 1);
+    bed.waitForReadyEndpoints("m1", 2);
+    for (const bool watchesGoOn : {false, true}) {
+        story.section(watchesGoOn ? "the watches wait on" : "the watches end", [&] {
+            const auto incarnation = watchesGoOn ? 200 : 100;
+            bed.heartbeat("m2", 2, "ready", incarnation);
+            bed.waitForIncarnation("m1", "m2", incarnation);
+            bed.onLoop([&] {
+                bed.store->copy();
+                return true;
+            });
+            bed.heartbeat("m3", 1, "ready", incarnation);
+            story.equal(bed.heartbeat("m2", 3, "draining", incarnation), 200, "the departure to be acknowledged");
+            bed.waitForIncarnation("m1", "m3", incarnation);
+            const auto writes = bed.onLoop([&] {
+                bed.store->restore(watchesGoOn);
+                return bed.store->writes;
+            });
+            bed.waitUntil([&] {
+                return bed.store->read("figpulley-endpoints", bed.recordName("m2")).find("draining") != std::string::npos
+                    && bed.store->read("figpulley-endpoints", bed.recordName("m3")).find(std::to_string(incarnation)) != std::string::npos;
+            });
+            std::this_thread::sleep_for(std::chrono::milliseconds(300));
+            story.equal(bed.onLoop([&] { return bed.store->writes; }) - writes, 2, "one write for each lost record, and no others");
+        });
+    }
+    story.section("a node that starts afterwards", [&] {
+        bed.add("c1", "commesse");
+        bed.waitForReadyEndpoints("c1", 2);
+        story.equal(bed.request("c1", "/look/1").head.status, 200, "requests to be served by the endpoints that are left");
+    });
+}
+
 Test(mesh, planned_stop_finishes_requests_in_flight)
 {
     tests::Story story;
--- a/tests/support/meshtestbed.h
+++ b/tests/support/meshtestbed.h
@@ -273,6 +273,12 @@
         });
     }
 
+    /// @returns the name of the object that holds the record of a VM's endpoint
+    [[nodiscard]] std::string recordName(const std::string &name) const
+    {
+        return mesh::recordName(this->vms.at(name).settings.ingress.toString());
+    }
+
     /// @returns the number of requests that a VM's endpoint has received
     [[nodiscard]] int requestsAt(const std::string &name)
     {
