Ask other nodes after a start what a restore of the store has lost

Cause: a restarted node took the store's contents for all that was ever confirmed. The restored copy has an older configuration, and the record of before the departure.

Evidence: with an empty selection of peers, mesh restarted_node_asks_its_peers_for_what_a_restore_has_lost fails: the node becomes ready with version 1 although version 2 was in force everywhere, and takes requests for its deregistered endpoint.

Fix: before it uses the first configuration and reads its stored record, a node asks up to five nodes of the directory for their configuration and for the record of its endpoint, 500 ms at most (1 s in all); then the newest of what it was told and of what the store has counts. A peer without a configuration yet answers none, which is no longer logged as an invalid one.

--- a/src/discovery/localendpoint.cpp
+++ b/src/discovery/localendpoint.cpp
@@ -103,6 +103,19 @@
     return UpdateResult::Changed;
 }
 
+bool LocalEndpoint::mergePeerRecord(const EndpointRecord &record, core::TimePoint now)
+{
+    if (record.service != this->identity.service || (this->known && !precedes(*this->known, record))) {
+        return false;
+    }
+    if (!this->known) {
+        this->lastContactAt = now;
+    }
+    this->known = record;
+    this->known->node = this->identity.node;
+    return true;
+}
+
 bool LocalEndpoint::mergeStoredRecord(const std::optional<EndpointRecord> &stored, core::TimePoint now)
 {
     this->isStoreRead = true;
@@ -121,7 +134,7 @@
         return false;
     }
     const bool isSameIncarnation = stored->incarnation == this->known->incarnation && stored->id == this->known->id;
-    if (isSameIncarnation && isFinal(stored->state) && !isFinal(this->known->state)) {
+    if (isSameIncarnation && precedes(*this->known, *stored)) {
         this->known->state = stored->state;
         return false;
     }
--- a/src/discovery/localendpoint.h
+++ b/src/discovery/localendpoint.h
@@ -43,6 +43,10 @@
     /// Applies a response of the endpoint that states that it is leaving. It is final for the incarnation, as a draining heartbeat is.
     [[nodiscard]] UpdateResult applyLeaving(const std::string &id, std::int64_t incarnation) noexcept;
 
+    /// Merges the record that other nodes know. It may be newer than the stored one if the store was restored.
+    /// @returns whether the record in memory has changed
+    [[nodiscard]] bool mergePeerRecord(const EndpointRecord &record, core::TimePoint now);
+
     /// Merges the record that an earlier process of this node wrote to the store.
     /// @param stored the stored record, or nothing if the store has none
     /// @returns whether the record in memory is newer and must be written to the store
--- a/src/mesh/fwd.h
+++ b/src/mesh/fwd.h
@@ -13,6 +13,7 @@
 class LocalRegistrar;
 class MeshNode;
 class OutboundProxy;
+class PeerInquiry;
 class RelayedStore;
 class SnapshotExchange;
 class WireFormat;
--- a/src/mesh/inboundproxy.cpp
+++ b/src/mesh/inboundproxy.cpp
@@ -445,8 +445,8 @@
 void InboundProxy::accept(std::shared_ptr<net::HttpExchange> exchange)
 {
     const auto &request = exchange->request();
-    if (!net::findHeader(request.headers, SnapshotExchange::header).empty()) {
-        exchange->respond({httpOk, {{"Content-Type", "application/json"}}, this->snapshots.snapshot()});
+    if (const auto selection = net::findHeader(request.headers, SnapshotExchange::header); !selection.empty()) {
+        exchange->respond({httpOk, {{"Content-Type", "application/json"}}, this->snapshots.snapshot(selection)});
         return;
     }
     if (!net::findHeader(request.headers, ChangeRelay::header).empty()) {
--- a/src/mesh/localregistrar.cpp
+++ b/src/mesh/localregistrar.cpp
@@ -44,10 +44,23 @@
 
 void LocalRegistrar::start()
 {
-    this->readStoredRecord();
     this->scheduleHeartbeatCheck();
 }
 
+void LocalRegistrar::mergePeerRecord(const discovery::EndpointRecord &record)
+{
+    auto &local = this->context.board.local.write();
+    const bool wasOpen = local.acceptsRequests();
+    if (!local.mergePeerRecord(record, core::steadyNow())) {
+        return;
+    }
+    this->logState("record known to other nodes");
+    this->writeChange();
+    if (wasOpen && !local.acceptsRequests()) {
+        this->onClosed();
+    }
+}
+
 void LocalRegistrar::runAfter(core::Duration delay, std::function<void(LocalRegistrar &)> step)
 {
     this->context.loop.callAfter(delay, [weak = this->weak_from_this(), step = std::move(step)] {
--- a/src/mesh/localregistrar.h
+++ b/src/mesh/localregistrar.h
@@ -24,9 +24,15 @@
     /// @param onClosed called when the endpoint accepts no new requests any more
     LocalRegistrar(MeshContext context, std::function<void()> onClosed);
 
-    /// Reads the record that an earlier process left in the store, and starts to check for missing heartbeats.
+    /// Starts to check for missing heartbeats.
     void start();
 
+    /// Reads the record that an earlier process left in the store. Until then nothing is written.
+    void readStoredRecord();
+
+    /// Merges the record that other nodes know.
+    void mergePeerRecord(const discovery::EndpointRecord &record);
+
     /// Processes a heartbeat.
     /// @param respond called once with an HTTP status
     void handleHeartbeat(const discovery::Heartbeat &heartbeat, StatusCallback respond);
@@ -53,7 +59,6 @@
         StatusCallback respond;
     };
 
-    void readStoredRecord();
     void handleStoredRecord(const store::ItemResult &result);
     void writeChange();
     void writeRecord();
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -65,6 +65,7 @@
     , configUpdater(this->boardSections, wire, [this](const routing::RouteSet &routes) { this->outbound->setClientLimits(routes.limits); })
     , directoryUpdater(this->boardSections)
     , snapshots(this->context, this->configUpdater, this->directoryUpdater)
+    , peerInquiry(this->context, this->snapshots, [this] { this->handleInquiryEnded(); })
     , changes(this->context)
     , relayedStore(this->context, this->changes)
 {
@@ -139,7 +140,7 @@
     CollectionListener routes;
     routes.onItem = [this](const store::CollectionItem &item) {
         if (item.name == this->wire.routesName() && !item.isDeleted) {
-            this->configUpdater.activateIfNewer(item.content, "store", core::steadyNow());
+            this->activateRoutes(item.content);
         }
     };
     routes.onListBegun = [](std::uint64_t) {};
@@ -165,6 +166,7 @@
         const store::Position position {this->eraCheckedStore.era().current(), revision};
         this->directoryUpdater.retain(names, position);
         this->scheduleRemovalOfLost(position.era);
+        this->peerInquiry.start();
     };
     endpoints.onCaughtUp = [this](std::uint64_t revision) {
         this->registrar->confirmRecord(this->storedOwnRecord, {this->eraCheckedStore.era().current(), revision});
@@ -181,6 +183,28 @@
                {"store", this->settings.store.toString()}});
 }
 
+// The first configuration may come from a backup of the store and be older than the one that the other nodes have.
+void MeshNode::activateRoutes(const std::string &text)
+{
+    if (this->peerInquiry.hasEnded()) {
+        this->configUpdater.activateIfNewer(text, "store", core::steadyNow());
+        return;
+    }
+    this->heldRoutes = text;
+    this->peerInquiry.limitTime();
+}
+
+void MeshNode::handleInquiryEnded()
+{
+    if (const auto *known = this->boardSections.directory.read().find(this->settings.ingress.toString())) {
+        this->registrar->mergePeerRecord(known->record);
+    }
+    this->registrar->readStoredRecord();
+    if (!this->heldRoutes.empty()) {
+        this->configUpdater.activateIfNewer(std::exchange(this->heldRoutes, {}), "store", core::steadyNow());
+    }
+}
+
 // The first era that a node hears of is not a restore, as the node has read nothing before.
 void MeshNode::handleStoreRestored(std::uint64_t earlierEra, std::uint64_t era)
 {
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -8,6 +8,7 @@
 #include "mesh/meshboard.h"
 #include "mesh/meshsettings.h"
 #include "mesh/outboundproxy.h"
+#include "mesh/peerinquiry.h"
 #include "mesh/relayedstore.h"
 #include "mesh/snapshotexchange.h"
 #include "mesh/updaters.h"
@@ -48,6 +49,8 @@
 private:
     void checkStop();
     void reportLoad();
+    void activateRoutes(const std::string &text);
+    void handleInquiryEnded();
     void scheduleRemovalOfLost(std::uint64_t era);
     void handleStoreRestored(std::uint64_t earlierEra, std::uint64_t era);
     [[nodiscard]] std::size_t inFlight() const noexcept;
@@ -68,6 +71,7 @@
     ConfigUpdater configUpdater;
     DirectoryUpdater directoryUpdater;
     SnapshotExchange snapshots;
+    PeerInquiry peerInquiry;
     ChangeRelay changes;
     RelayedStore relayedStore;
     std::shared_ptr<LocalRegistrar> registrar;
@@ -77,6 +81,7 @@
     std::shared_ptr<CollectionFollower> routesFollower;
     std::shared_ptr<CollectionFollower> endpointsFollower;
     std::function<void(std::size_t)> onStopped;
+    std::string heldRoutes; // configuration of the store that waits for the end of the inquiry
     std::optional<discovery::EndpointRecord> storedOwnRecord; // record of this VM's endpoint as the collection has shown it
     std::uint64_t restoresSeen = 0;
     net::EventLoop::TimerId loadTimer = net::EventLoop::noTimer;
--- /dev/null
+++ b/src/mesh/peerinquiry.cpp
@@ -0,0 +1,84 @@
+#include "mesh/peerinquiry.h"
+
+#include "core/log.h"
+#include "mesh/meshboard.h"
+#include "mesh/meshsettings.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace figpulley::mesh
+{
+namespace
+{
+using namespace std::chrono_literals;
+
+// Some of the peers may have restarted as well, or be cut off from this node.
+constexpr std::size_t maxPeers = 5;
+// The node is not ready meanwhile, and a change of the configuration has to be active within 2 s.
+constexpr core::Duration maxDuration = 1s;
+} // namespace
+
+PeerInquiry::PeerInquiry(MeshContext context, SnapshotExchange &snapshots, std::function<void()> onEnded)
+    : context(context)
+    , snapshots(snapshots)
+    , onEnded(std::move(onEnded))
+{
+}
+
+PeerInquiry::~PeerInquiry()
+{
+    this->context.loop.cancel(this->limitTimer);
+}
+
+void PeerInquiry::start()
+{
+    if (this->isStarted) {
+        return;
+    }
+    this->isStarted = true;
+    this->snapshots.fetchOwn(this->selectPeers(), [this] { this->end("all peers have answered or failed"); });
+}
+
+void PeerInquiry::limitTime()
+{
+    if (this->isEnded || this->limitTimer != net::EventLoop::noTimer) {
+        return;
+    }
+    this->limitTimer = this->context.loop.callAfter(maxDuration, [this] {
+        this->limitTimer = net::EventLoop::noTimer;
+        this->end("time limit");
+    });
+}
+
+bool PeerInquiry::hasEnded() const noexcept
+{
+    return this->isEnded;
+}
+
+std::vector<std::string> PeerInquiry::selectPeers() const
+{
+    const auto own = this->context.settings.ingress.toString();
+    std::vector<std::string> peers;
+    for (const auto *known : this->context.board.directory.read().allEndpoints()) {
+        if (known->record.node != own && known->record.state != discovery::EndpointState::Gone) {
+            peers.push_back(known->record.node);
+        }
+    }
+    std::shuffle(peers.begin(), peers.end(), this->context.random);
+    peers.resize(std::min(peers.size(), maxPeers));
+    return peers;
+}
+
+void PeerInquiry::end(const char *cause)
+{
+    this->isEnded = true;
+    this->context.loop.cancel(this->limitTimer);
+    this->limitTimer = net::EventLoop::noTimer;
+    core::log(core::LogLevel::Info, "peers.asked", {{"cause", cause}});
+    this->onEnded();
+}
+} // namespace figpulley::mesh
--- a/src/mesh/snapshotexchange.cpp
+++ b/src/mesh/snapshotexchange.cpp
@@ -2,8 +2,10 @@
 
 #include "core/log.h"
 #include "mesh/meshboard.h"
+#include "mesh/meshsettings.h"
 
 #include <chrono>
+#include <utility>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -17,6 +19,7 @@
 constexpr core::Duration fetchTimeout = 500ms; // shorter than the time in which a change has to be active
 constexpr std::size_t maxSnapshotBytes = 8UL << 20U;
 constexpr int httpOk = 200;
+const std::string allRecords = "1";
 } // namespace
 
 SnapshotExchange::SnapshotExchange(MeshContext context, ConfigUpdater &config, DirectoryUpdater &directory)
@@ -32,25 +35,55 @@
         return;
     }
     this->isFetching = true;
+    this->fetch(node, allRecords, [this] { this->isFetching = false; });
+}
+
+void SnapshotExchange::fetchOwn(const std::vector<std::string> &nodes, std::function<void()> onDone)
+{
+    if (nodes.empty()) {
+        onDone();
+        return;
+    }
+    const auto open = std::make_shared<std::size_t>(nodes.size());
+    for (const auto &node : nodes) {
+        this->fetch(node, this->context.settings.ingress.toString(), [open, onDone] {
+            if (--*open == 0) {
+                onDone();
+            }
+        });
+    }
+}
+
+void SnapshotExchange::fetch(const std::string &node, const std::string &selection, std::function<void()> onDone)
+{
     net::ClientRequest request;
     request.url = fmt::format("http://{}/", node);
-    request.headers.push_back({header, "1"});
+    request.headers.push_back({header, selection});
     request.timeout = fetchTimeout;
-    this->context.client.fetch(request, maxSnapshotBytes,
-                               [this, node, token = std::weak_ptr<bool>(this->lifetimeToken)](const net::ClientResponse &response) {
-                                   if (!token.expired()) {
-                                       this->isFetching = false;
-                                       this->handleSnapshot(node, response);
-                                   }
-                               });
+    this->context.client.fetch(
+        request, maxSnapshotBytes,
+        [this, node, onDone = std::move(onDone), token = std::weak_ptr<bool>(this->lifetimeToken)](const net::ClientResponse &response) {
+            if (!token.expired()) {
+                this->handleSnapshot(node, response);
+                onDone();
+            }
+        });
 }
 
-std::string SnapshotExchange::snapshot() const
+std::string SnapshotExchange::snapshot(std::string_view selection) const
 {
     auto endpoints = nlohmann::json::array();
-    for (const auto *known : this->context.board.directory.read().allEndpoints()) {
+    const auto add = [&endpoints](const discovery::KnownEndpoint &known) {
         endpoints.push_back(
-            {{"era", known->position.era}, {"revision", known->position.revision}, {"record", discovery::encode(known->record)}});
+            {{"era", known.position.era}, {"revision", known.position.revision}, {"record", discovery::encode(known.record)}});
+    };
+    const auto &directory = this->context.board.directory.read();
+    if (const auto *selected = directory.find(selection)) {
+        add(*selected);
+    } else if (selection == allRecords) {
+        for (const auto *known : directory.allEndpoints()) {
+            add(*known);
+        }
     }
     return nlohmann::json {{"config", this->context.board.config.read().source}, {"endpoints", std::move(endpoints)}}.dump(
         -1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -66,7 +99,10 @@
     const auto now = core::steadyNow();
     try {
         const auto object = nlohmann::json::parse(response.body);
-        this->config.activateIfNewer(object.at("config").get<std::string>(), node, now);
+        // A node that has just started has no configuration yet.
+        if (const auto config = object.at("config").get<std::string>(); !config.empty()) {
+            this->config.activateIfNewer(config, node, now);
+        }
         for (const auto &entry : object.at("endpoints")) {
             const auto text = entry.at("record").get<std::string>();
             if (const auto record = discovery::decodeEndpointRecord(text)) {
--- a/src/mesh/snapshotexchange.h
+++ b/src/mesh/snapshotexchange.h
@@ -3,13 +3,16 @@
 #include "mesh/meshcontext.h"
 #include "mesh/updaters.h"
 
+#include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace figpulley::mesh
 {
-/// Fetches configuration and directory from peers that have a newer configuration, so that a node that cannot reach the store catches up
-/// through the requests that it receives.
+/// Fetches configuration and directory from peers: from those that have a newer configuration, so that a node that cannot reach the store
+/// catches up through the requests that it receives, and from a few after the start.
 class SnapshotExchange
 {
 public:
@@ -19,13 +22,20 @@
     /// @param node ip:port of the peer's ingress
     void fetchIfNewer(const std::string &node, std::uint64_t version);
 
+    /// Fetches the configuration, and the record of this VM's endpoint, from several peers at once.
+    /// @param nodes ip:port of the peers' ingresses
+    /// @param onDone called when all have answered or failed; at once if there are none
+    void fetchOwn(const std::vector<std::string> &nodes, std::function<void()> onDone);
+
     /// Returns this node's configuration and directory as JSON.
-    [[nodiscard]] std::string snapshot() const;
+    /// @param selection value of the request's header: "1" for all records, or ip:port of the only node whose record is wanted
+    [[nodiscard]] std::string snapshot(std::string_view selection) const;
 
     /// Header that marks a request to a node's ingress as a request for a snapshot.
     static constexpr const char *header = "Figpulley-Snapshot";
 
 private:
+    void fetch(const std::string &node, const std::string &selection, std::function<void()> onDone);
     void handleSnapshot(const std::string &node, const net::ClientResponse &response);
 
     MeshContext context;
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -167,6 +167,40 @@
     });
 }
 
+// Guards against a restarted node that takes the restored record of its endpoint for the last one.
+Test(discovery, records_that_other_nodes_know_complete_the_stored_one)
+{
+    tests::Story story;
+    story.section("the store has lost the departure", [&] {
+        auto local = localEndpoint();
+        story.check(local.mergePeerRecord(recordOf(100, EndpointState::Draining), after(0s)), "the record of the peers to be taken");
+        story.check(local.mergeStoredRecord(recordOf(100, EndpointState::Ready), after(0s)), "it to be written again");
+        story.check(!local.acceptsRequests(), "no requests to be accepted");
+        story.check(local.applyHeartbeat(heartbeat(100, 9), after(1s)) == UpdateResult::Unchanged, "a late heartbeat to change nothing");
+        story.check(!local.acceptsRequests(), "no requests to be accepted after it");
+    });
+    story.section("the peers know less than the store", [&] {
+        auto local = localEndpoint();
+        story.check(local.mergePeerRecord(recordOf(100, EndpointState::Draining), after(0s)), "the record of the peers to be taken");
+        story.check(!local.mergeStoredRecord(recordOf(100, EndpointState::Gone), after(0s)), "nothing to be written");
+        story.check(local.record()->state == EndpointState::Gone, "the stored state to be taken");
+        story.check(!local.mergePeerRecord(recordOf(100, EndpointState::Draining), after(1s)), "later answers to change nothing");
+    });
+    story.section("the endpoint has restarted", [&] {
+        auto local = localEndpoint();
+        story.check(local.applyHeartbeat(heartbeat(200, 1), after(0s)) == UpdateResult::Changed, "its heartbeat to count");
+        story.check(!local.mergePeerRecord(recordOf(100, EndpointState::Gone), after(0s)), "the earlier incarnation to be ignored");
+        story.check(local.mergeStoredRecord(recordOf(100, EndpointState::Ready), after(0s)), "its record to be written");
+        story.check(local.acceptsRequests(), "requests to be accepted");
+    });
+    story.section("the record is of another service", [&] {
+        auto local = localEndpoint();
+        auto record = recordOf(300, EndpointState::Gone);
+        record.service = "commesse";
+        story.check(!local.mergePeerRecord(record, after(0s)), "it to be ignored");
+    });
+}
+
 Test(discovery, the_directory_ignores_older_revisions)
 {
     tests::Story story;
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -525,6 +525,50 @@
     });
 }
 
+// Guards against a node that restarts between a restore and the operator's next write, and goes back to the configuration of the backup
+// or takes requests for an endpoint whose departure it has acknowledged.
+Test(mesh, restarted_node_asks_its_peers_for_what_a_restore_has_lost)
+{
+    tests::Story story;
+    tests::MeshTestbed bed;
+    bed.publish();
+    for (const auto *name : {"m1", "m2", "m3"}) {
+        bed.add(name, "motivi");
+        bed.heartbeat(name, 1);
+    }
+    bed.waitForReadyEndpoints("m1", 3);
+    bed.onLoop([&] {
+        bed.store->copy();
+        return true;
+    });
+    bed.publishVersion(2);
+    for (const auto *name : {"m1", "m2", "m3"}) {
+        bed.waitForVersion(name, 2);
+    }
+    story.equal(bed.deregister("m2"), 200, "the departure to be acknowledged");
+    bed.waitForReadyEndpoints("m1", 2);
+    bed.waitForReadyEndpoints("m3", 2);
+    bed.kill("m2");
+    bed.onLoop([&] {
+        bed.store->restore(false);
+        return true;
+    });
+    bed.start("m2");
+    bed.waitUntil([&] { return bed.node("m2").isReady(); });
+    story.equal(bed.onLoop([&] { return bed.node("m2").board().config.read().table->version(); }), 2U,
+                "the first configuration that it uses to be the confirmed one");
+    bed.waitUntil([&] { return bed.node("m2").board().local.read().record().has_value(); });
+    const bool isOpen = bed.onLoop([&] { return bed.node("m2").board().local.read().acceptsRequests(); });
+    story.check(!isOpen, "its endpoint to take no requests");
+    bed.waitUntil([&] { return bed.store->read("figpulley-endpoints", bed.recordName("m2")).find("gone") != std::string::npos; });
+    story.section("an invalid configuration", [&] {
+        bed.publish(R"({"Version":3,"VirtualHosts":[{"Host":"a.example","Paths":[{"Name":"look"}]}],"Services":[]})");
+        bed.publishVersion(4);
+        bed.waitForVersion("m2", 4);
+        story.equal(bed.request("m1", "/look/1").head.status, 200, "requests to be served by the valid ones");
+    });
+}
+
 Test(mesh, planned_stop_finishes_requests_in_flight)
 {
     tests::Story story;
--- a/tests/support/meshtestbed.h
+++ b/tests/support/meshtestbed.h
@@ -273,6 +273,12 @@
         });
     }
 
+    /// @returns a VM's node, for use on the event loop's thread
+    [[nodiscard]] const mesh::MeshNode &node(const std::string &name) const
+    {
+        return *this->vms.at(name).node;
+    }
+
     /// @returns the name of the object that holds the record of a VM's endpoint
     [[nodiscard]] std::string recordName(const std::string &name) const
     {
