Soak: restore the store from a copy

Each run restores the store once at least, with or without an outage, beside a draining endpoint, published versions and killed nodes; the operator writes the configuration again later. Checked: no process serves a route of an earlier version after one of a later version, and at the end the store has every endpoint's record again.

--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -275,7 +275,9 @@
     }
     auto &vm = *this->vms[number % this->vms.size()];
     const auto kind = this->randomIntOnLoop(0, 9);
-    const auto requestedVersion = static_cast<std::uint64_t>(this->version);
+    const auto publishedVersion = static_cast<std::uint64_t>(this->version);
+    const bool isOlderWanted = publishedVersion > 1 && this->randomIntOnLoop(0, 2) == 0;
+    const auto requestedVersion = isOlderWanted ? publishedVersion - 1 : publishedVersion;
     const auto path = kind < 3              ? std::string("/order/x")
         : kind < 9 || requestedVersion == 0 ? std::string("/look/x")
                                             : fmt::format("/v{}/x", requestedVersion);
@@ -293,31 +295,37 @@
     this->origins[id] = {vm.name, core::steadyNow()};
     ++this->openRequests;
     const int pid = vm.pid;
+    const auto servedBefore = vm.servedVersion;
     const bool wasFaultFree = this->isFaultFree;
-    this->client->fetch(request, 1UL << 20U,
-                        [this, number, id, &vm, pid, requestedVersion, isVersioned, wasFaultFree](const net::ClientResponse &answer) {
-                            --this->openRequests;
-                            this->origins.erase(id);
-                            this->recordStatements(vm, pid, answer);
-                            const auto status = answer.result.kind == core::ErrorKind::None ? answer.head.status : 0;
-                            const bool isMatching =
-                                answer.body == responseBody(id) && net::findHeader(answer.head.headers, "X-Server-Stamp") == serverStamp;
-                            // A versioned route may have been removed already or may not be active yet, so that only its success counts.
-                            if (!isVersioned || status == 200) {
-                                this->ledger.recordResponse(id, status, isMatching, wasFaultFree && this->isFaultFree);
-                            }
-                            if (isVersioned && pid == vm.pid) {
-                                if (status == 200) {
-                                    vm.servedVersion = std::max(vm.servedVersion, requestedVersion);
-                                } else if (status == 404 && requestedVersion > vm.servedVersion) {
-                                    // The version isn't active at this node yet.
-                                } else if (status == 404 && requestedVersion == static_cast<std::uint64_t>(this->version)) {
-                                    this->ledger.addViolation(
-                                        fmt::format("{} served version {} and returned to an earlier one", vm.name, requestedVersion));
-                                }
-                            }
-                            this->scheduleRequest(number);
-                        });
+    this->client->fetch(
+        request, 1UL << 20U,
+        [this, number, id, &vm, pid, requestedVersion, servedBefore, isVersioned, wasFaultFree](const net::ClientResponse &answer) {
+            --this->openRequests;
+            this->origins.erase(id);
+            this->recordStatements(vm, pid, answer);
+            const auto status = answer.result.kind == core::ErrorKind::None ? answer.head.status : 0;
+            const bool isMatching =
+                answer.body == responseBody(id) && net::findHeader(answer.head.headers, "X-Server-Stamp") == serverStamp;
+            // A versioned route may have been removed already or may not be active yet, so that only its success counts.
+            if (!isVersioned || status == 200) {
+                this->ledger.recordResponse(id, status, isMatching, wasFaultFree && this->isFaultFree);
+            }
+            if (isVersioned && pid == vm.pid) {
+                if (status == 200 && requestedVersion < servedBefore) {
+                    this->ledger.addViolation(
+                        fmt::format("{} served version {} and then a route of version {}", vm.name, servedBefore, requestedVersion));
+                }
+                if (status == 200) {
+                    vm.servedVersion = std::max(vm.servedVersion, requestedVersion);
+                } else if (status == 404 && requestedVersion > vm.servedVersion) {
+                    // The version isn't active at this node yet.
+                } else if (status == 404 && requestedVersion == static_cast<std::uint64_t>(this->version)) {
+                    this->ledger.addViolation(
+                        fmt::format("{} served version {} and returned to an earlier one", vm.name, requestedVersion));
+                }
+            }
+            this->scheduleRequest(number);
+        });
 }
 
 // Runs on the event loop's thread. Records the statements of an endpoint in a response that a node has passed on.
@@ -373,7 +381,7 @@
 {
     auto &vm = this->randomVm();
     const auto linkFault = static_cast<LinkFault>(this->randomInt(1, 4));
-    switch (this->randomInt(0, 8)) {
+    switch (this->randomInt(0, 9)) {
     case 0:
         this->recordEvent("kill " + vm.name);
         this->stopProcess(vm, SIGKILL);
@@ -415,6 +423,9 @@
         this->setRateLimit(vm, limit);
         break;
     }
+    case 8:
+        this->restoreStore();
+        break;
     case 7:
         this->recordEvent("departure stated by " + vm.name);
         this->thread.call([&] { vm.isStatingDeparture = true; });
@@ -432,9 +443,56 @@
     }
 }
 
+// Restores the store from a copy made before an endpoint drains and the configuration changes, with or without an outage that nodes
+// notice. The operator writes the configuration again some time later; the draining endpoint's node may be killed at any point.
+void SoakRun::restoreStore()
+{
+    auto &draining = this->randomVm();
+    const bool watchesGoOn = this->randomInt(0, 1) == 0;
+    const auto outage = static_cast<tests::MetadataStore::Fault>(this->randomInt(0, 2));
+    this->recordEvent(fmt::format("copy of the store, then {} drains", draining.name));
+    this->thread.call([&] {
+        this->store->copy();
+        draining.isDraining = true;
+    });
+    for (int changes = this->randomInt(0, 3); changes > 0; --changes) {
+        this->publish();
+        this->sleepMs(this->randomInt(50, 600));
+    }
+    this->sleepMs(this->randomInt(0, 1000));
+    const bool isKilledBefore = this->randomInt(0, 2) == 0;
+    if (isKilledBefore) {
+        this->recordEvent("kill " + draining.name);
+        this->stopProcess(draining, SIGKILL);
+        this->waitForExit(draining);
+    }
+    this->thread.call([&] { this->store->fault = outage; });
+    this->sleepMs(outage == tests::MetadataStore::Fault::None ? 0 : this->randomInt(100, 2000));
+    this->recordEvent(fmt::format("restore, outage {}, watches {}", static_cast<int>(outage), watchesGoOn ? "go on" : "end"));
+    this->thread.call([&] {
+        this->store->restore(watchesGoOn);
+        this->store->fault = tests::MetadataStore::Fault::None;
+    });
+    if (isKilledBefore) {
+        this->startProcess(draining);
+    }
+    auto &restarted = this->randomVm();
+    if (this->randomInt(0, 1) == 0) {
+        this->recordEvent("kill " + restarted.name);
+        this->stopProcess(restarted, SIGKILL);
+        this->waitForExit(restarted);
+        this->startProcess(restarted);
+    }
+    this->sleepMs(this->randomInt(0, 700));
+    this->thread.call([&] { this->store->write("config", "main", makeRoutes(this->version)); });
+    this->sleepMs(this->randomInt(500, 3000));
+    this->startNextIncarnation(draining);
+}
+
 void SoakRun::injectFaults()
 {
     this->isFaultFree = false;
+    this->restoreStore();
     const auto deadline = core::steadyNow() + std::chrono::seconds(this->options.seconds);
     while (core::steadyNow() < deadline) {
         this->injectFault();
@@ -467,6 +525,7 @@
         this->reportTimingViolation(fmt::format("success ratio of {:.2f} over {} requests after all faults ended",
                                                 this->ledger.successRatio(), this->ledger.responseCount()));
     }
+    this->checkRecords();
     const auto expectedVersion = static_cast<std::uint64_t>(this->version);
     for (const auto &vm : this->vms) {
         if (this->thread.call([&] { return vm->servedVersion; }) < expectedVersion) {
@@ -476,6 +535,21 @@
     }
 }
 
+// Each endpoint's record has to be in the store again, whatever the restores have lost.
+void SoakRun::checkRecords()
+{
+    for (const auto &vm : this->vms) {
+        const auto [text, incarnation] = this->thread.call([&] {
+            const auto name = mesh::recordName(vm->ingress.toString());
+            return std::pair(this->store->read(mesh::LocalRegistrar::collection, name), vm->incarnation);
+        });
+        const auto record = discovery::decodeEndpointRecord(text);
+        if (!record || record->incarnation != incarnation || record->state != discovery::EndpointState::Ready) {
+            this->reportTimingViolation(fmt::format("the record of {} in the store is {}", vm->name, text.empty() ? "missing" : text));
+        }
+    }
+}
+
 void SoakRun::reportTimingViolation(const std::string &text)
 {
     if (this->options.isTimed) {
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -80,6 +80,8 @@
     void runPlannedOperations();
     void injectFaults();
     void injectFault();
+    void restoreStore();
+    void checkRecords();
     void checkRecovery();
     void checkMemory();
     void setRateLimit(Vm &vm, std::optional<double> perSecond);
