--- a/src/discovery/directory.cpp
+++ b/src/discovery/directory.cpp
@@ -102,11 +102,11 @@
         std::count_if(this->nodes.begin(), this->nodes.end(), [era](const auto &entry) { return isUnconfirmed(entry.second, era); }));
 }
 
-std::vector<std::string> Directory::removeBefore(std::uint64_t era)
+std::vector<std::string> Directory::removeBefore(std::uint64_t era, std::string_view kept)
 {
     std::vector<std::string> removed;
     for (const auto &[node, known] : this->nodes) {
-        if (isUnconfirmed(known, era)) {
+        if (node != kept && isUnconfirmed(known, era)) {
             removed.push_back(node);
         }
     }
--- a/src/discovery/directory.h
+++ b/src/discovery/directory.h
@@ -49,8 +49,9 @@
     [[nodiscard]] std::size_t countBefore(std::uint64_t era) const;
 
     /// Removes the nodes that countBefore() counts, since their records were not written again.
+    /// @param kept node that is not removed; empty for none
     /// @returns the removed nodes
-    std::vector<std::string> removeBefore(std::uint64_t era);
+    std::vector<std::string> removeBefore(std::uint64_t era, std::string_view kept = {});
 
     /// Endpoints of a service that may receive new requests.
     [[nodiscard]] const std::vector<const KnownEndpoint *> &readyEndpoints(std::string_view service) const;
--- a/src/mesh/controlserver.cpp
+++ b/src/mesh/controlserver.cpp
@@ -74,13 +74,10 @@
     const auto &config = board.config.read();
     const auto &local = board.local.read();
     nlohmann::json status {
-        {"name", this->context.settings.name},
-        {"availability_zone", this->context.settings.availabilityZone},
-        {"service", this->context.settings.service},
-        {"ready", this->isReady()},
-        {"stopping", board.lifecycle.read().isStopping},
-        {"config_version", config.table ? config.table->version() : 0},
-        {"endpoints_known", board.directory.read().size()},
+        {"name", this->context.settings.name},           {"availability_zone", this->context.settings.availabilityZone},
+        {"service", this->context.settings.service},     {"ready", this->isReady()},
+        {"stopping", board.lifecycle.read().isStopping}, {"config_version", config.table ? config.table->version() : 0},
+        {"store_era", this->context.storeEra.current()}, {"endpoints_known", board.directory.read().size()},
     };
     if (local.record()) {
         status["endpoint"] = {
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -65,7 +65,8 @@
     , configUpdater(this->boardSections, wire, [this](const routing::RouteSet &routes) { this->outbound->setClientLimits(routes.limits); })
     , directoryUpdater(this->boardSections)
     , snapshots(this->context, this->configUpdater, this->directoryUpdater)
-    , peerInquiry(this->context, this->snapshots, [this] { this->handleInquiryEnded(); })
+    , peerInquiry(
+          this->context, this->snapshots, [this] { this->mergeOwnRecord(); }, [this] { this->handleInquiryEnded(); })
     , changes(this->context)
     , relayedStore(this->context, this->changes)
 {
@@ -194,11 +195,15 @@
     this->peerInquiry.limitTime();
 }
 
-void MeshNode::handleInquiryEnded()
+void MeshNode::mergeOwnRecord()
 {
     if (const auto *known = this->boardSections.directory.read().find(this->settings.ingress.toString())) {
         this->registrar->mergePeerRecord(known->record);
     }
+}
+
+void MeshNode::handleInquiryEnded()
+{
     this->registrar->readStoredRecord();
     if (!this->heldRoutes.empty()) {
         this->configUpdater.activateIfNewer(std::exchange(this->heldRoutes, {}), "store", core::steadyNow());
@@ -235,7 +240,7 @@
     this->removalTimer = this->loop.callAfter(discovery::confirmationTime(lost), [this, era] {
         this->removalTimer = net::EventLoop::noTimer;
         this->awaitedEra = 0;
-        this->directoryUpdater.removeLost(era);
+        this->directoryUpdater.removeLost(era, this->settings.ingress.toString());
     });
 }
 
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -50,6 +50,7 @@
     void checkStop();
     void reportLoad();
     void activateRoutes(const std::string &text);
+    void mergeOwnRecord();
     void handleInquiryEnded();
     void scheduleRemovalOfLost(std::uint64_t era);
     void handleStoreRestored(std::uint64_t earlierEra, std::uint64_t era);
--- a/src/mesh/peerinquiry.cpp
+++ b/src/mesh/peerinquiry.cpp
@@ -18,13 +18,16 @@
 
 // Some of the peers may have restarted as well, or be cut off from this node.
 constexpr std::size_t maxPeers = 5;
+// A peer that has restarted as well has asked others itself; later answers are still taken over.
+constexpr std::size_t sufficientAnswers = 2;
 // The node is not ready meanwhile, and a change of the configuration has to be active within 2 s.
 constexpr core::Duration maxDuration = 1s;
 } // namespace
 
-PeerInquiry::PeerInquiry(MeshContext context, SnapshotExchange &snapshots, std::function<void()> onEnded)
+PeerInquiry::PeerInquiry(MeshContext context, SnapshotExchange &snapshots, std::function<void()> onAnswer, std::function<void()> onEnded)
     : context(context)
     , snapshots(snapshots)
+    , onAnswer(std::move(onAnswer))
     , onEnded(std::move(onEnded))
 {
 }
@@ -40,7 +43,26 @@
         return;
     }
     this->isStarted = true;
-    this->snapshots.fetchOwn(this->selectPeers(), [this] { this->end("all peers have answered or failed"); });
+    const auto peers = this->selectPeers();
+    this->pendingPeers = peers.size();
+    if (peers.empty()) {
+        this->end("no other node known");
+    }
+    for (const auto &node : peers) {
+        this->snapshots.fetchOwn(node, [this](bool hasConfig) { this->handleAnswer(hasConfig); });
+    }
+}
+
+void PeerInquiry::handleAnswer(bool hasConfig)
+{
+    --this->pendingPeers;
+    this->answers += hasConfig ? 1 : 0;
+    if (hasConfig) {
+        this->onAnswer();
+    }
+    if (this->answers >= sufficientAnswers || this->pendingPeers == 0) {
+        this->end("peers have answered or failed");
+    }
 }
 
 void PeerInquiry::limitTime()
@@ -75,10 +97,13 @@
 
 void PeerInquiry::end(const char *cause)
 {
-    this->isEnded = true;
+    if (std::exchange(this->isEnded, true)) {
+        return;
+    }
     this->context.loop.cancel(this->limitTimer);
     this->limitTimer = net::EventLoop::noTimer;
-    core::log(core::LogLevel::Info, "peers.asked", {{"cause", cause}});
+    core::log(core::LogLevel::Info, "peers.asked",
+              {{"cause", cause}, {"answers", fmt::to_string(this->answers)}, {"pending", fmt::to_string(this->pendingPeers)}});
     this->onEnded();
 }
 } // namespace figpulley::mesh
--- a/src/mesh/peerinquiry.h
+++ b/src/mesh/peerinquiry.h
@@ -15,9 +15,9 @@
 class PeerInquiry
 {
 public:
-    /// @param onEnded called when the peers have answered or failed, when there are none, or when it takes too long; called again if they
-    /// answer after the time limit
-    PeerInquiry(MeshContext context, SnapshotExchange &snapshots, std::function<void()> onEnded);
+    /// @param onAnswer called when the directory and the configuration have taken over what a peer has answered
+    /// @param onEnded called once: when enough peers have answered, when all have failed, or when it takes too long
+    PeerInquiry(MeshContext context, SnapshotExchange &snapshots, std::function<void()> onAnswer, std::function<void()> onEnded);
     ~PeerInquiry();
     PeerInquiry(const PeerInquiry &) = delete;
     PeerInquiry &operator=(const PeerInquiry &) = delete;
@@ -32,12 +32,16 @@
 
 private:
     [[nodiscard]] std::vector<std::string> selectPeers() const;
+    void handleAnswer(bool hasConfig);
     void end(const char *cause);
 
     MeshContext context;
     SnapshotExchange &snapshots;
+    std::function<void()> onAnswer;
     std::function<void()> onEnded;
     net::EventLoop::TimerId limitTimer = net::EventLoop::noTimer;
+    std::size_t pendingPeers = 0; // number of peers that have neither answered nor failed
+    std::size_t answers = 0; // number of peers that have sent a configuration
     bool isStarted = false;
     bool isEnded = false;
 };
--- a/src/mesh/snapshotexchange.cpp
+++ b/src/mesh/snapshotexchange.cpp
@@ -35,26 +35,15 @@
         return;
     }
     this->isFetching = true;
-    this->fetch(node, allRecords, [this] { this->isFetching = false; });
+    this->fetch(node, allRecords, [this](bool /*hasConfig*/) { this->isFetching = false; });
 }
 
-void SnapshotExchange::fetchOwn(const std::vector<std::string> &nodes, std::function<void()> onDone)
+void SnapshotExchange::fetchOwn(const std::string &node, std::function<void(bool)> onDone)
 {
-    if (nodes.empty()) {
-        onDone();
-        return;
-    }
-    const auto open = std::make_shared<std::size_t>(nodes.size());
-    for (const auto &node : nodes) {
-        this->fetch(node, this->context.settings.ingress.toString(), [open, onDone] {
-            if (--*open == 0) {
-                onDone();
-            }
-        });
-    }
+    this->fetch(node, this->context.settings.ingress.toString(), std::move(onDone));
 }
 
-void SnapshotExchange::fetch(const std::string &node, const std::string &selection, std::function<void()> onDone)
+void SnapshotExchange::fetch(const std::string &node, const std::string &selection, std::function<void(bool)> onDone)
 {
     net::ClientRequest request;
     request.url = fmt::format("http://{}/", node);
@@ -64,8 +53,7 @@
         request, maxSnapshotBytes,
         [this, node, onDone = std::move(onDone), token = std::weak_ptr<bool>(this->lifetimeToken)](const net::ClientResponse &response) {
             if (!token.expired()) {
-                this->handleSnapshot(node, response);
-                onDone();
+                onDone(this->handleSnapshot(node, response));
             }
         });
 }
@@ -89,18 +77,19 @@
         -1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-void SnapshotExchange::handleSnapshot(const std::string &node, const net::ClientResponse &response)
+bool SnapshotExchange::handleSnapshot(const std::string &node, const net::ClientResponse &response)
 {
     if (response.result.kind != core::ErrorKind::None || response.head.status != httpOk) {
         core::log(core::LogLevel::Warning, "snapshot.failed",
                   {{"node", node}, {"kind", std::string(core::errorProperties(response.result.kind).name)}});
-        return;
+        return false;
     }
     const auto now = core::steadyNow();
     try {
         const auto object = nlohmann::json::parse(response.body);
         // A node that has just started has no configuration yet.
-        if (const auto config = object.at("config").get<std::string>(); !config.empty()) {
+        const auto config = object.at("config").get<std::string>();
+        if (!config.empty()) {
             this->config.activateIfNewer(config, node, now);
         }
         for (const auto &entry : object.at("endpoints")) {
@@ -110,8 +99,10 @@
                 this->directory.put(recordName(record->node), text, position, now);
             }
         }
+        return !config.empty();
     } catch (const nlohmann::json::exception &error) {
         core::log(core::LogLevel::Warning, "snapshot.unreadable", {{"node", node}, {"reason", error.what()}});
+        return false;
     }
 }
 } // namespace figpulley::mesh
--- a/src/mesh/snapshotexchange.h
+++ b/src/mesh/snapshotexchange.h
@@ -7,7 +7,6 @@
 #include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace figpulley::mesh
 {
@@ -22,10 +21,10 @@
     /// @param node ip:port of the peer's ingress
     void fetchIfNewer(const std::string &node, std::uint64_t version);
 
-    /// Fetches the configuration, and the record of this VM's endpoint, from several peers at once.
-    /// @param nodes ip:port of the peers' ingresses
-    /// @param onDone called when all have answered or failed; at once if there are none
-    void fetchOwn(const std::vector<std::string> &nodes, std::function<void()> onDone);
+    /// Fetches the configuration, and the record of this VM's endpoint, from a peer.
+    /// @param node ip:port of the peer's ingress
+    /// @param onDone called when the answer was applied or the call has failed; receives whether the peer has sent a configuration
+    void fetchOwn(const std::string &node, std::function<void(bool)> onDone);
 
     /// Returns this node's configuration and directory as JSON.
     /// @param selection value of the request's header: "1" for all records, or ip:port of the only node whose record is wanted
@@ -35,8 +34,9 @@
     static constexpr const char *header = "Figpulley-Snapshot";
 
 private:
-    void fetch(const std::string &node, const std::string &selection, std::function<void()> onDone);
-    void handleSnapshot(const std::string &node, const net::ClientResponse &response);
+    void fetch(const std::string &node, const std::string &selection, std::function<void(bool)> onDone);
+    /// @returns whether the snapshot contains a configuration
+    bool handleSnapshot(const std::string &node, const net::ClientResponse &response);
 
     MeshContext context;
     ConfigUpdater &config;
--- a/src/mesh/updaters.cpp
+++ b/src/mesh/updaters.cpp
@@ -128,9 +128,9 @@
     this->board.directory.write().retain(nodes, position);
 }
 
-void DirectoryUpdater::removeLost(std::uint64_t era)
+void DirectoryUpdater::removeLost(std::uint64_t era, std::string_view own)
 {
-    for (const auto &node : this->board.directory.write().removeBefore(era)) {
+    for (const auto &node : this->board.directory.write().removeBefore(era, own)) {
         core::log(core::LogLevel::Info, "endpoint.forgotten",
                   {{"node", node}, {"era", fmt::to_string(era)}, {"cause", "lost in a restore"}});
     }
--- a/src/mesh/updaters.h
+++ b/src/mesh/updaters.h
@@ -50,7 +50,8 @@
 
     /// Removes the nodes whose records the store lost in a restore and that were not written again.
     /// @param era era since which they would have been read
-    void removeLost(std::uint64_t era);
+    /// @param own this node, which is kept: it knows its endpoint without the store
+    void removeLost(std::uint64_t era, std::string_view own);
 
 private:
     MeshBoard &board;
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -267,6 +267,7 @@
         directory.retain({}, {2, 6});
         story.equal(directory.readyEndpoints("motivi").size(), 1U, "the endpoint to stay until its node could write the record again");
         story.equal(directory.countBefore(2), 1U, "its record to count as lost");
+        story.check(directory.removeBefore(2, node).empty(), "the node itself to keep its own endpoint");
         story.equal(directory.removeBefore(2).size(), 1U, "it to be removed afterwards");
         story.equal(directory.readyEndpoints("motivi").size(), 0U, "no ready endpoint");
         story.check(!directory.put(recordOf(100, EndpointState::Ready), {1, 18}, after(5s)),
