--- a/src/mesh/changerelay.cpp
+++ b/src/mesh/changerelay.cpp
@@ -45,9 +45,10 @@
     items.era = log.era();
     if (query.revision == 0) {
         items.items = log.allItems();
-    } else if (isOfOtherEra(query, log)) {
-        items.kind = ErrorKind::HistoryGone;
-    } else if (auto changes = log.changesAfter(query.revision)) {
+        return items;
+    }
+    auto changes = isOfOtherEra(query, log) ? std::nullopt : log.changesAfter(query.revision);
+    if (changes) {
         items.items = std::move(*changes);
     } else {
         items.kind = ErrorKind::HistoryGone;
