Ask the watcher first again when the store has failed for this node as well

Cause: while the store is away, watchers refuse the nodes of their zone, which then avoid them for 3 s and ask the store. So when the store returned, restored or not, every node listed both collections there at once.

Change: a node remembers that the store has failed for it too; then a refusal does not count against the watcher, and the store is not read again within 700 ms (mesh/StoreAccess, tested without a network).

--- a/src/mesh/fwd.h
+++ b/src/mesh/fwd.h
@@ -16,6 +16,7 @@
 class PeerInquiry;
 class RelayedStore;
 class SnapshotExchange;
+class StoreAccess;
 class WireFormat;
 struct AttemptHead;
 struct AttemptReport;
--- a/src/mesh/relayedstore.cpp
+++ b/src/mesh/relayedstore.cpp
@@ -21,8 +21,6 @@
 // Added to the wait for the round trip between nodes of a zone and for a busy watcher.
 constexpr core::Duration watcherMargin = 250ms;
 constexpr core::Duration watcherConnectTimeout = 200ms;
-// Time for which a watcher that did not answer is not queried. Afterwards the directory shows whether it is gone.
-constexpr core::Duration avoidanceTime = 3s;
 constexpr std::size_t maxResponseBytes = 16UL << 20U;
 constexpr int httpOk = 200;
 } // namespace
@@ -41,13 +39,7 @@
     if (std::find(watchers.begin(), watchers.end(), own) != watchers.end()) {
         return {};
     }
-    for (const auto &node : watchers) {
-        const auto avoided = this->avoidedUntil.find(node);
-        if (avoided == this->avoidedUntil.end() || now >= avoided->second) {
-            return node;
-        }
-    }
-    return {};
+    return this->access.selectWatcher(watchers, now);
 }
 
 void RelayedStore::queryWatcher(const std::string &node, const ChangeQuery &query, ItemsCallback callback, std::function<void()> fallback)
@@ -76,11 +68,29 @@
                                               {"collection", collection},
                                               {"kind", std::string(core::errorProperties(response.result.kind).name)},
                                               {"status", fmt::to_string(response.head.status)}});
-                                   this->avoidedUntil[node] = core::steadyNow() + avoidanceTime;
-                                   fallback();
+                                   this->handleWatcherFailure(node, response.result.kind == ErrorKind::None, callback, fallback);
                                });
 }
 
+void RelayedStore::handleWatcherFailure(const std::string &node, bool isRefusal, const ItemsCallback &callback,
+                                        const std::function<void()> &fallback)
+{
+    const auto now = core::steadyNow();
+    if (isRefusal) {
+        this->access.watcherRefused(node, now);
+    } else {
+        this->access.watcherLost(node, now);
+    }
+    if (this->access.mayReadStore(now)) {
+        fallback();
+        return;
+    }
+    store::CollectionItems failure;
+    failure.kind = ErrorKind::PlatformUnavailable;
+    failure.era = this->context.storeEra.current();
+    callback(failure);
+}
+
 // A watcher that answers with an earlier era has learned of the current one from the query, so the caller can query it again soon.
 void RelayedStore::deliver(const store::CollectionItems &response, const ItemsCallback &callback)
 {
@@ -97,9 +107,14 @@
     }
 }
 
-void RelayedStore::updateReadFromStore(const std::string &collection, const store::CollectionItems &response)
+void RelayedStore::recordStoreRead(const std::string &collection, const store::CollectionItems &response)
 {
     const bool isAnswered = response.kind == ErrorKind::None || response.kind == ErrorKind::HistoryGone;
+    if (isAnswered) {
+        this->access.storeAnswered();
+    } else {
+        this->access.storeFailed(core::steadyNow());
+    }
     this->relay.setReadFromStore(collection, isAnswered);
 }
 
@@ -109,7 +124,7 @@
                              [this, collection, callback = std::move(callback),
                               token = std::weak_ptr<bool>(this->lifetimeToken)](const store::CollectionItems &response) {
                                  if (!token.expired()) {
-                                     this->updateReadFromStore(collection, response);
+                                     this->recordStoreRead(collection, response);
                                      callback(response);
                                  }
                              });
@@ -121,7 +136,7 @@
                               [this, collection, callback = std::move(callback),
                                token = std::weak_ptr<bool>(this->lifetimeToken)](const store::CollectionItems &response) {
                                   if (!token.expired()) {
-                                      this->updateReadFromStore(collection, response);
+                                      this->recordStoreRead(collection, response);
                                       callback(response);
                                   }
                               });
--- a/tests/restore_test.cpp
+++ b/tests/restore_test.cpp
@@ -3,6 +3,7 @@
 
 #include "core/log.h"
 #include "mesh/collectionfollower.h"
+#include "mesh/storeaccess.h"
 #include "store/store.h"
 
 #include <chrono>
@@ -184,3 +185,39 @@
     log.advance(6);
     story.check(log.changesAfter(5).has_value() && log.changesAfter(5)->size() == 1U, "a change after the restore to be logged");
 }
+
+// Guards against all nodes listing the store at the moment at which it returns, since their watchers have refused them while it was away.
+Test(restore, nodes_ask_their_watchers_first_when_the_store_was_away)
+{
+    tests::Story story;
+    const std::vector<std::string> watchers {"w1", "w2"};
+    const auto start = core::TimePoint {} + 1h;
+    mesh::StoreAccess access;
+    story.equal(access.selectWatcher(watchers, start), std::string("w1"), "the first watcher to be asked");
+    story.section("the watcher cannot reach the store, this node can", [&] {
+        access.watcherRefused("w1", start);
+        story.check(access.mayReadStore(start), "the store to be read");
+        access.storeAnswered();
+        story.equal(access.selectWatcher(watchers, start + 1s), std::string("w2"), "another watcher to be asked next");
+        story.equal(access.selectWatcher(watchers, start + 4s), std::string("w1"), "the first one to be asked again later");
+    });
+    const auto outage = start + 10s;
+    story.section("nobody can reach the store", [&] {
+        access.watcherRefused("w1", outage);
+        access.watcherRefused("w2", outage);
+        story.equal(access.selectWatcher(watchers, outage), std::string(), "no watcher to be left");
+        access.storeFailed(outage + 5ms);
+        story.equal(access.selectWatcher(watchers, outage + 200ms), std::string("w1"), "the watcher to be asked first again");
+        access.watcherRefused("w1", outage + 200ms);
+        story.check(!access.mayReadStore(outage + 200ms), "the store not to be read so soon after it has failed");
+        story.equal(access.selectWatcher(watchers, outage + 500ms), std::string("w1"), "the watcher to be asked at the next attempt");
+        access.watcherRefused("w1", outage + 800ms);
+        story.check(access.mayReadStore(outage + 800ms), "the store to be read some time later");
+    });
+    story.section("a watcher cannot be reached while the store is away", [&] {
+        access.storeFailed(outage + 2s);
+        access.watcherLost("w1", outage + 2s);
+        access.storeFailed(outage + 3s);
+        story.equal(access.selectWatcher(watchers, outage + 3s), std::string("w2"), "it to be avoided all the same");
+    });
+}
