--- a/src/discovery/directory.h
+++ b/src/discovery/directory.h
@@ -23,9 +23,9 @@
     core::TimePoint coldUntil {}; ///< end of the endpoint's cold start
 };
 
-/// All endpoints that are recorded in the store, by node and by service. A record that precedes
-/// the known one by its node's own count never replaces it, since a restored store may have lost the latest writes and a write may take
-/// effect late. Otherwise the later position wins; a record of an earlier era has to be newer by the node's count.
+/// All endpoints that are recorded in the store, by node and by service. A record that precedes the known one by its node's own count never
+/// replaces it, since a restored store may have lost the latest writes and a write may take effect late. Otherwise the later position
+/// wins; a record of an earlier era has to be newer by the node's count.
 class Directory
 {
 public:
--- a/src/mesh/changerelay.cpp
+++ b/src/mesh/changerelay.cpp
@@ -107,8 +107,7 @@
         }
     } catch (const nlohmann::json::exception &) {
         // The caller logs the failure of the peer and queries the store instead.
-        items = {};
-        items.kind = ErrorKind::PlatformUnavailable;
+        items = store::unavailableItems(0);
     }
     return items;
 }
--- a/src/mesh/changerelay.h
+++ b/src/mesh/changerelay.h
@@ -84,10 +84,9 @@
 
     using WaiterPosition = std::list<Waiter>::iterator;
 
-    void addWaiter(CollectionState &state, ChangeQuery query, const std::shared_ptr<net::HttpExchange> &exchange);
-    /// Whether the log holds a complete list of the current era of the store.
+    // Whether the log holds a complete list of the current era of the store.
     [[nodiscard]] bool isListed(const CollectionState &state) const;
-
+    void addWaiter(CollectionState &state, ChangeQuery query, const std::shared_ptr<net::HttpExchange> &exchange);
     void refuseWaiters(CollectionState &state);
     Waiter removeWaiter(CollectionState &state, WaiterPosition position);
 
--- a/src/mesh/relayedstore.cpp
+++ b/src/mesh/relayedstore.cpp
@@ -5,6 +5,7 @@
 #include "mesh/meshboard.h"
 #include "mesh/meshsettings.h"
 
+#include <algorithm>
 #include <chrono>
 
 #include <fmt/format.h>
@@ -85,10 +86,7 @@
         fallback();
         return;
     }
-    store::CollectionItems failure;
-    failure.kind = ErrorKind::PlatformUnavailable;
-    failure.era = this->context.storeEra.current();
-    callback(failure);
+    callback(store::unavailableItems(this->context.storeEra.current()));
 }
 
 // A watcher that answers with an earlier era has learned of the current one from the query, so the caller can query it again soon.
@@ -100,10 +98,7 @@
         callback(current);
     });
     if (!isCurrent) {
-        store::CollectionItems failure;
-        failure.kind = ErrorKind::PlatformUnavailable;
-        failure.era = this->context.storeEra.current();
-        callback(failure);
+        callback(store::unavailableItems(this->context.storeEra.current()));
     }
 }
 
--- a/src/platform/platformstore.cpp
+++ b/src/platform/platformstore.cpp
@@ -97,9 +97,7 @@
         }
         items.hasMore = body.value(names::hasMore, false);
     } catch (const json::exception &) {
-        items = {};
-        items.kind = ErrorKind::PlatformUnavailable;
-        items.era = readEra(response);
+        items = store::unavailableItems(items.era);
     }
     return items;
 }
--- a/src/store/collectionstore.h
+++ b/src/store/collectionstore.h
@@ -30,6 +30,15 @@
     bool hasMore = false; ///< in a list: another page follows the last name
 };
 
+/// Returns the response to a list or a watch that has failed.
+[[nodiscard]] inline CollectionItems unavailableItems(std::uint64_t era)
+{
+    CollectionItems items;
+    items.kind = core::ErrorKind::PlatformUnavailable;
+    items.era = era;
+    return items;
+}
+
 /// Result of a read or a write of one object.
 struct ItemResult
 {
--- a/src/store/eracheckedstore.cpp
+++ b/src/store/eracheckedstore.cpp
@@ -43,9 +43,7 @@
         }
         if (!this->tracker.deliver(response.era, [&] { callback(withEra(response, this->tracker.current())); })) {
             logOutdated(call, response.era, this->tracker.current());
-            CollectionItems failure;
-            failure.kind = core::ErrorKind::PlatformUnavailable;
-            callback(withEra(std::move(failure), this->tracker.current()));
+            callback(unavailableItems(this->tracker.current()));
         }
     };
 }
