--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -2,6 +2,7 @@
 
 #include "support/meshtestbed.h"
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <fstream>
@@ -19,7 +20,7 @@
 {
 using namespace std::chrono_literals;
 
-constexpr std::size_t clientCount = 24; // several clients on each VM, so that requests overlap all the time
+constexpr std::size_t minClients = 24; // several clients on each VM of a small run, so that requests overlap all the time
 constexpr int meanThinkTimeMs = 25;
 constexpr long maxResidentKb = 160L * 1024L; // memory for the node on the smallest VMs of the users' deployments
 constexpr core::Duration maxDrainDelay = 2500ms; // users' upper bound for new requests at a draining endpoint
@@ -580,7 +581,7 @@
     }
     this->sleepMs(2500);
     this->thread.call([this] {
-        for (std::size_t number = 0; number < clientCount; ++number) {
+        for (std::size_t number = 0; number < std::max(minClients, this->vms.size()); ++number) {
             this->scheduleRequest(number);
         }
     });
