Name the era header between nodes without the platform's word

Figpulley-Era instead of Figpulley-Store-Era: the platform's header names belong into src/platform only.

--- a/src/mesh/changerelay.h
+++ b/src/mesh/changerelay.h
@@ -65,7 +65,7 @@
     static constexpr const char *header = "Figpulley-Changes";
 
     /// Header with the era of the store that the sender of a query knows of. Nodes of versions without it ignore it.
-    static constexpr const char *eraHeader = "Figpulley-Store-Era";
+    static constexpr const char *eraHeader = "Figpulley-Era";
 
 private:
     struct Waiter
