--- a/src/mesh/localregistrar.h
+++ b/src/mesh/localregistrar.h
@@ -74,7 +74,7 @@
     std::function<void()> onClosed;
     std::vector<PendingAcknowledgement> pendingAcknowledgements;
     std::uint64_t latestChange = 0; // number of the latest change of the record
-    std::uint64_t writtenChange = 0; // number of the latest change that is in the store
+    std::uint64_t writtenChange = 0; // number of the latest change that the store has acknowledged; a restore may have lost it
     store::Position storedPosition; // position of the object in the store; revision 0 if there is none
     int failureCount = 0;
     bool isStoredPositionKnown = false; // storedPosition is up to date, as far as the node knows
