--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cpp
@@ -348,9 +348,8 @@
     this->acceptor.join();
     close(this->socket);
     this->closeConnections();
-    for (auto &thread : this->threads) {
-        thread.join();
-    }
+    std::unique_lock lock(this->mutex);
+    this->ended.wait(lock, [this] { return this->activeThreads == 0; });
 }
 
 std::uint16_t Listener::port() const
@@ -373,7 +372,11 @@
         if (descriptor < 0) {
             continue;
         }
-        this->threads.emplace_back([this, descriptor] {
+        {
+            const std::lock_guard lock(this->mutex);
+            ++this->activeThreads;
+        }
+        std::thread([this, descriptor] {
             Stream stream(descriptor);
             {
                 const std::lock_guard lock(this->mutex);
@@ -384,7 +387,9 @@
             }
             const std::lock_guard lock(this->mutex);
             this->streams.remove(&stream);
-        });
+            --this->activeThreads;
+            this->ended.notify_all();
+        }).detach();
     }
 }
 
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -119,7 +119,8 @@
     std::atomic<bool> isStopped {false};
     std::mutex mutex;
     std::list<Stream *> streams;
-    std::vector<std::thread> threads;
+    std::condition_variable ended;
+    int activeThreads = 0;
     std::thread acceptor;
 };
 
