--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cpp
@@ -608,6 +608,9 @@
     std::ofstream(path) << text.dump(4) << "\n";
     const auto log = this->folder + "/" + this->settings.name + ".log";
     this->process = fork();
+    if (this->process < 0) {
+        throw std::runtime_error("cannot start a process");
+    }
     if (this->process == 0) {
         prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
@@ -622,6 +625,11 @@
 
 void NodeProcess::signal(int number)
 {
+    // An id of -1 would address all processes of the machine.
+    if (this->process <= 0) {
+        this->record.line("node " + this->settings.name + ": has ended, no signal sent");
+        return;
+    }
     this->record.line("node " + this->settings.name + ": signal " + std::to_string(number));
     kill(this->process, number);
     if (number == SIGKILL) {
