--- a/review/harness/harness.cpp
+++ b/review/harness/harness.cpp
@@ -10,6 +10,8 @@
 #include <cstring>
 #include <filesystem>
 #include <fstream>
+#include <random>
+#include <set>
 #include <stdexcept>
 
 #include <arpa/inet.h>
@@ -555,17 +557,36 @@
     }
 }
 
+// Ports for processes that are started later are taken from below the range from which the system picks ports of outgoing connections. One
+// of these could take a port before its process has bound it.
+static std::uint16_t reservePort()
+{
+    constexpr int firstPort = 20000;
+    constexpr int portCount = 12000;
+    static std::mt19937 random {std::random_device {}()};
+    static std::set<std::uint16_t> reserved;
+    while (true) {
+        const auto port = static_cast<std::uint16_t>(firstPort + static_cast<int>(random() % portCount));
+        if (!reserved.insert(port).second) {
+            continue;
+        }
+        try {
+            std::uint16_t bound = 0;
+            close(bindPort(port, bound, 0));
+            return port;
+        } catch (const std::runtime_error &) {
+            // The port is in use: tries another one.
+        }
+    }
+}
+
 Vm makeVm(const std::string &name, const std::string &service)
 {
     Vm vm;
     vm.name = name;
     vm.service = service;
-    std::vector<int> sockets;
     for (auto *port : {&vm.entrance, &vm.ingress, &vm.control, &vm.readiness, &vm.metrics, &vm.upstream}) {
-        sockets.push_back(bindPort(0, *port, 0));
-    }
-    for (const int descriptor : sockets) {
-        close(descriptor);
+        *port = reservePort();
     }
     return vm;
 }
