--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 mkdir -p target/review
 for source in review/*/case.cpp; do
     number="$(basename "$(dirname "$source")")"
-    g++ -std=c++20 -O1 -Wall -Wextra -Ireview "$source" review/harness/harness.cpp -pthread -o "target/review/case-$number" &
+    g++ -std=c++20 -O1 -Wall -Wextra -Ireview "$source" review/harness.cpp -pthread -o "target/review/case-$number" &
 done
 wait
 for source in review/*/case.cpp; do
