--- a/src/discovery/localendpoint.cpp
+++ b/src/discovery/localendpoint.cpp
@@ -6,9 +6,9 @@
 {
 namespace
 {
-// Heartbeats that are required to accept requests while the store has not been read since the start. A single one may be a delayed
-// heartbeat, sent before a deregistration that this node's earlier process acknowledged; two in a row cannot both be.
-constexpr int heartbeatsWithoutStore = 2;
+// Heartbeats that confirm an endpoint which an earlier process of this node may have known. A single one may be a delayed heartbeat, sent
+// before a deregistration that the earlier process acknowledged; two in a row cannot both be.
+constexpr int confirmingHeartbeats = 2;
 } // namespace
 
 LocalEndpoint::LocalEndpoint(LocalIdentity identity)
@@ -28,15 +28,46 @@
     return id != this->known->id;
 }
 
+bool LocalEndpoint::isAlive() const noexcept
+{
+    return this->known && !isFinal(this->known->state);
+}
+
+bool LocalEndpoint::hasDeparted(const Heartbeat &heartbeat) const noexcept
+{
+    return this->otherDeparture && heartbeat.id == this->otherDeparture->id && heartbeat.incarnation <= this->otherDeparture->incarnation;
+}
+
+// The record of an endpoint that only a deregistration has named says nothing about an endpoint with another id: the call may come from
+// another writer.
+bool LocalEndpoint::isRecordOfOther(const std::string &id) const noexcept
+{
+    return this->known && this->isFromDeregistration && this->known->id != id;
+}
+
+void LocalEndpoint::inherit(const EndpointRecord &record)
+{
+    if (this->isRecordOfOther(record.id)) {
+        this->otherDeparture = Deregistration {this->known->id, this->known->incarnation};
+    }
+    this->known = record;
+    this->known->node = this->identity.node;
+    this->isInherited = true;
+    this->isConfirmed = false;
+    this->isFromDeregistration = false;
+}
+
 UpdateResult LocalEndpoint::applyHeartbeat(const Heartbeat &heartbeat, core::TimePoint now)
 {
     if (heartbeat.service != this->identity.service) {
         return UpdateResult::Foreign;
     }
-    if (this->known && heartbeat.incarnation < this->known->incarnation) {
+    const bool replacesOther = this->isRecordOfOther(heartbeat.id);
+    const bool isEarlier = this->known && !replacesOther && heartbeat.incarnation < this->known->incarnation;
+    if (isEarlier || this->hasDeparted(heartbeat)) {
         return UpdateResult::Stale;
     }
-    const bool isNew = this->isNewIncarnation(heartbeat.id, heartbeat.incarnation);
+    const bool isNew = replacesOther || this->isNewIncarnation(heartbeat.id, heartbeat.incarnation);
     if (!isNew && heartbeat.sequence <= this->known->sequence && this->heartbeatsSinceStart > 0) {
         return UpdateResult::Stale;
     }
@@ -60,7 +91,12 @@
     // The remaining cold start and the sequence number change with every heartbeat, so other nodes are notified only of a new state,
     // number of slots or version.
     const bool isSame = this->known && statesSame(next, *this->known);
+    if (replacesOther) {
+        this->otherDeparture = Deregistration {this->known->id, this->known->incarnation};
+    }
     this->known = std::move(next);
+    this->isInherited = this->isInherited && !isNew;
+    this->isFromDeregistration = this->isFromDeregistration && !isNew;
     return isSame ? UpdateResult::Unchanged : UpdateResult::Changed;
 }
 
@@ -76,11 +112,16 @@
         this->known->incarnation = deregistration.incarnation != 0 ? deregistration.incarnation : wallMs;
         this->known->state = EndpointState::Gone;
         this->lastContactAt = now;
+        this->isFromDeregistration = true;
         return UpdateResult::Changed;
     }
     const bool isOther =
         deregistration.id != this->known->id || (deregistration.incarnation != 0 && deregistration.incarnation != this->known->incarnation);
     if (isOther) {
+        const auto incarnation = deregistration.incarnation != 0 ? deregistration.incarnation : wallMs;
+        if (deregistration.id != this->known->id || incarnation > this->known->incarnation) {
+            this->otherDeparture = Deregistration {deregistration.id, incarnation};
+        }
         return UpdateResult::Stale;
     }
     if (this->known->state == EndpointState::Gone) {
@@ -105,35 +146,35 @@
 
 bool LocalEndpoint::mergePeerRecord(const EndpointRecord &record, core::TimePoint now)
 {
-    if (record.service != this->identity.service || (this->known && !precedes(*this->known, record))) {
+    const bool isKnownBetter = this->known && !this->isRecordOfOther(record.id) && !precedes(*this->known, record);
+    if (record.service != this->identity.service || isKnownBetter) {
         return false;
     }
     if (!this->known) {
         this->lastContactAt = now;
     }
-    this->known = record;
-    this->known->node = this->identity.node;
+    this->inherit(record);
     return true;
 }
 
 bool LocalEndpoint::mergeStoredRecord(const std::optional<EndpointRecord> &stored, core::TimePoint now)
 {
-    this->isStoreRead = true;
+    // Later reads find what this process has written itself.
+    const bool isFirstRead = !std::exchange(this->isStoreRead, true);
     if (!stored || stored->service != this->identity.service) {
         return this->known.has_value();
     }
     if (!this->known) {
-        this->known = *stored;
-        this->known->node = this->identity.node;
+        this->inherit(*stored);
         this->lastContactAt = now;
         return false;
     }
-    if (stored->incarnation > this->known->incarnation) {
-        this->known = *stored;
-        this->known->node = this->identity.node;
+    if (stored->incarnation > this->known->incarnation || this->isRecordOfOther(stored->id)) {
+        this->inherit(*stored);
         return false;
     }
     const bool isSameIncarnation = stored->incarnation == this->known->incarnation && stored->id == this->known->id;
+    this->isInherited = this->isInherited || (isFirstRead && isSameIncarnation);
     if (isSameIncarnation && precedes(*this->known, *stored)) {
         this->known->state = stored->state;
         return false;
@@ -153,8 +194,22 @@
 bool LocalEndpoint::acceptsRequests() const noexcept
 {
     // Missing heartbeats alone do not stop requests: heartbeats may be delayed while the endpoint serves.
-    const bool isAlive = this->known && !isFinal(this->known->state);
-    return isAlive && (this->isStoreRead || this->heartbeatsSinceStart >= heartbeatsWithoutStore);
+    const bool isShownAlive = this->isConfirmed || !this->isInherited;
+    return this->isAlive() && ((this->isStoreRead && isShownAlive) || this->heartbeatsSinceStart >= confirmingHeartbeats);
+}
+
+bool LocalEndpoint::needsConfirmation() const noexcept
+{
+    return this->isAlive() && this->isStoreRead && !this->acceptsRequests();
+}
+
+bool LocalEndpoint::confirm(const std::string &id) noexcept
+{
+    if (!this->needsConfirmation() || this->known->id != id) {
+        return false;
+    }
+    this->isConfirmed = true;
+    return true;
 }
 
 const std::optional<EndpointRecord> &LocalEndpoint::record() const noexcept
--- a/src/discovery/localendpoint.h
+++ b/src/discovery/localendpoint.h
@@ -26,7 +26,9 @@
 };
 
 /// State of the endpoint on this VM, derived from its heartbeats and the stored record. Decides whether new requests may reach the
-/// endpoint: once a deregistration is acknowledged, it receives none, even after delayed heartbeats or a restart of the node.
+/// endpoint: once a deregistration is acknowledged, it receives none, even after delayed heartbeats or a restart of the node. A record
+/// that an earlier process has left does not open it by itself, since that process may have acknowledged a departure that it could not
+/// store: the endpoint has to show that it is in service.
 class LocalEndpoint
 {
 public:
@@ -52,6 +54,13 @@
     /// @returns whether the record in memory is newer and must be written to the store
     [[nodiscard]] bool mergeStoredRecord(const std::optional<EndpointRecord> &stored, core::TimePoint now);
 
+    /// Whether only a sign of the endpoint itself is missing before it accepts requests.
+    [[nodiscard]] bool needsConfirmation() const noexcept;
+
+    /// Confirms that an endpoint is in service, as it has stated itself since this process started.
+    /// @returns whether the endpoint accepts requests for the first time
+    bool confirm(const std::string &id) noexcept;
+
     /// Marks a ready endpoint as silent if its last heartbeat is too old.
     /// @param timeout age of the last heartbeat beyond which the endpoint counts as silent
     /// @returns whether the record has changed
@@ -64,12 +73,20 @@
     [[nodiscard]] const std::optional<EndpointRecord> &record() const noexcept;
 
 private:
+    [[nodiscard]] bool isAlive() const noexcept;
     [[nodiscard]] bool isNewIncarnation(const std::string &id, std::int64_t incarnation) const noexcept;
+    [[nodiscard]] bool hasDeparted(const Heartbeat &heartbeat) const noexcept;
+    [[nodiscard]] bool isRecordOfOther(const std::string &id) const noexcept;
+    void inherit(const EndpointRecord &record);
 
     LocalIdentity identity;
     std::optional<EndpointRecord> known;
+    std::optional<Deregistration> otherDeparture; // departure of an incarnation that is not the one in the record
     core::TimePoint lastContactAt {};
     bool isStoreRead = false;
+    bool isInherited = false; // the incarnation was known to an earlier process of this node or to other nodes
+    bool isConfirmed = false;
+    bool isFromDeregistration = false; // nothing but a deregistration has named the endpoint of the record
     int heartbeatsSinceStart = 0;
 };
 } // namespace figpulley::discovery
--- a/src/mesh/fwd.h
+++ b/src/mesh/fwd.h
@@ -9,6 +9,7 @@
 class ConfigUpdater;
 class ControlServer;
 class DirectoryUpdater;
+class EndpointProbe;
 class InboundProxy;
 class LocalRegistrar;
 class MeshNode;
--- a/src/mesh/localregistrar.cpp
+++ b/src/mesh/localregistrar.cpp
@@ -37,6 +37,7 @@
 LocalRegistrar::LocalRegistrar(MeshContext context, std::function<void()> onClosed)
     : context(context)
     , onClosed(std::move(onClosed))
+    , probe(std::make_shared<EndpointProbe>(context, [this](const std::string &endpointId) { this->handleHealthy(endpointId); }))
 {
     const auto &settings = context.settings;
     context.board.local.write() = discovery::LocalEndpoint({settings.ingress.toString(), settings.service, settings.availabilityZone});
@@ -105,6 +106,7 @@
     if (wasOpen && !local.acceptsRequests()) {
         this->onClosed();
     }
+    this->probe->start();
     if (mustWrite) {
         this->writeChange();
         return;
@@ -113,6 +115,13 @@
     this->acknowledgeUpTo(this->latestChange);
 }
 
+void LocalRegistrar::handleHealthy(const std::string &endpointId)
+{
+    if (this->context.board.local.write().confirm(endpointId)) {
+        this->logState("health check");
+    }
+}
+
 void LocalRegistrar::handleHeartbeat(const discovery::Heartbeat &heartbeat, StatusCallback respond)
 {
     auto &local = this->context.board.local.write();
--- a/src/mesh/localregistrar.h
+++ b/src/mesh/localregistrar.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mesh/endpointprobe.h"
 #include "mesh/meshcontext.h"
 
 #include "discovery/endpointrecord.h"
@@ -15,7 +16,8 @@
 {
 /// Receives the heartbeats of the endpoint on this VM and keeps its record in the store. A departure is recorded before it is
 /// acknowledged, so that a restarted node knows of it. While the store is unavailable it is nevertheless acknowledged after a short wait,
-/// since the endpoint exits anyway. What a restore of the store has lost is written again.
+/// since the endpoint exits anyway; after a restart, such an endpoint has to show that it is in service before it gets requests. What a
+/// restore of the store has lost is written again.
 class LocalRegistrar : public std::enable_shared_from_this<LocalRegistrar>
 {
 public:
@@ -60,6 +62,7 @@
     };
 
     void handleStoredRecord(const store::ItemResult &result);
+    void handleHealthy(const std::string &endpointId);
     void writeChange();
     void writeRecord();
     void handleWriteResult(std::uint64_t change, const store::ItemResult &result);
@@ -72,6 +75,7 @@
 
     MeshContext context;
     std::function<void()> onClosed;
+    std::shared_ptr<EndpointProbe> probe;
     std::vector<PendingAcknowledgement> pendingAcknowledgements;
     std::uint64_t latestChange = 0; // number of the latest change of the record
     std::uint64_t writtenChange = 0; // number of the latest change that the store has acknowledged; a restore may have lost it
--- a/src/mesh/wireformat.h
+++ b/src/mesh/wireformat.h
@@ -70,6 +70,9 @@
 
     [[nodiscard]] virtual UpstreamReply readUpstreamReply(const net::ClientResponseHead &head) const = 0;
 
+    /// Returns the id of the endpoint that has answered a health check, if it is healthy and not leaving; otherwise an empty string.
+    [[nodiscard]] virtual std::string readHealthyEndpoint(const net::ClientResponseHead &head) const = 0;
+
     /// Returns the name of the header that marks an endpoint's own response.
     [[nodiscard]] virtual std::string_view stampHeader() const = 0;
 
--- a/src/platform/names.h
+++ b/src/platform/names.h
@@ -15,6 +15,7 @@
 inline constexpr std::string_view rateLimit = "Server-Limit"; ///< requests per second that an endpoint accepts, as a decimal number
 inline constexpr std::string_view leaving = "Server-Leaving"; ///< marks the responses of an endpoint that is leaving
 inline constexpr std::string_view leavingValue = "1";
+inline constexpr std::string_view instanceId = "X-Instance-Id"; ///< id of the endpoint that answers a health check
 inline constexpr std::string_view caller = "X-Caller-Service"; ///< service of the VM where the request entered the system
 
 // Paths of the calls that endpoints and the platform make to a node.
--- a/src/platform/platformwireformat.cpp
+++ b/src/platform/platformwireformat.cpp
@@ -191,6 +191,13 @@
     return reply;
 }
 
+std::string PlatformWireFormat::readHealthyEndpoint(const net::ClientResponseHead &head) const
+{
+    constexpr int healthy = 200;
+    const bool isInService = head.status == healthy && net::findHeader(head.headers, names::leaving) != names::leavingValue;
+    return isInService ? std::string(net::findHeader(head.headers, names::instanceId)) : std::string();
+}
+
 std::string_view PlatformWireFormat::stampHeader() const
 {
     return names::stamp;
--- a/src/platform/platformwireformat.h
+++ b/src/platform/platformwireformat.h
@@ -13,6 +13,7 @@
     [[nodiscard]] bool isReservedHeader(std::string_view name) const override;
     void addUpstreamHeaders(net::Headers &headers, const mesh::UpstreamHead &head) const override;
     [[nodiscard]] mesh::UpstreamReply readUpstreamReply(const net::ClientResponseHead &head) const override;
+    [[nodiscard]] std::string readHealthyEndpoint(const net::ClientResponseHead &head) const override;
     [[nodiscard]] std::string_view stampHeader() const override;
     [[nodiscard]] mesh::ControlCall readControlCall(const net::HttpRequest &request) const override;
     [[nodiscard]] std::string routesCollection() const override;
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -160,10 +160,45 @@
                     "a heartbeat of the next incarnation to change the record");
         story.check(local.acceptsRequests(), "the next incarnation to accept requests");
     });
-    story.section("the stored record is ready", [&] {
+    story.section("the stored record is ready, but the earlier process may have acknowledged a departure without the store", [&] {
         auto local = localEndpoint();
         story.check(!local.mergeStoredRecord(recordOf(100, EndpointState::Ready), after(0s)), "no record to write");
-        story.check(local.acceptsRequests(), "requests to be accepted before the next heartbeat");
+        story.check(!local.acceptsRequests(), "no requests to be accepted because of the record alone");
+        story.check(local.needsConfirmation(), "a sign of the endpoint to be missing");
+        static_cast<void>(local.applyHeartbeat(heartbeat(100, 7), after(1s)));
+        story.check(!local.acceptsRequests(), "no requests to be accepted after a single heartbeat, which may be late");
+        static_cast<void>(local.applyHeartbeat(heartbeat(100, 8), after(2s)));
+        story.check(local.acceptsRequests(), "requests to be accepted after two heartbeats in a row");
+    });
+    story.section("a heartbeat arrives before the store shows the same incarnation", [&] {
+        auto local = localEndpoint();
+        static_cast<void>(local.applyHeartbeat(heartbeat(100, 7), after(0s)));
+        static_cast<void>(local.mergeStoredRecord(recordOf(100, EndpointState::Ready), after(0s)));
+        story.check(!local.acceptsRequests(), "no requests to be accepted after a single heartbeat, which may be late");
+    });
+    story.section("the endpoint states its health", [&] {
+        auto local = localEndpoint();
+        static_cast<void>(local.mergeStoredRecord(recordOf(100, EndpointState::Ready), after(0s)));
+        story.check(!local.confirm("i-2"), "the statement of another endpoint to change nothing");
+        story.check(!local.acceptsRequests(), "no requests to be accepted because of it");
+        story.check(local.confirm("i-1"), "its own statement to count");
+        story.check(local.acceptsRequests(), "requests to be accepted");
+        story.equal(local.applyDeregistration({"i-1", 100}, after(1s), 5000), UpdateResult::Changed, "its deregistration to count");
+        story.check(!local.confirm("i-1"), "a late statement to change nothing");
+        story.check(!local.acceptsRequests(), "no requests to be accepted after the deregistration");
+    });
+    story.section("the endpoint has started anew meanwhile", [&] {
+        auto local = localEndpoint();
+        static_cast<void>(local.mergeStoredRecord(recordOf(100, EndpointState::Ready), after(0s)));
+        static_cast<void>(local.applyHeartbeat(heartbeat(200, 1), after(1s)));
+        story.check(local.acceptsRequests(), "requests to be accepted after its first heartbeat");
+    });
+    story.section("the node reads its own record again", [&] {
+        auto local = localEndpoint();
+        static_cast<void>(local.mergeStoredRecord(std::nullopt, after(0s)));
+        static_cast<void>(local.applyHeartbeat(heartbeat(100, 1), after(1s)));
+        static_cast<void>(local.mergeStoredRecord(recordOf(100, EndpointState::Ready), after(2s)));
+        story.check(local.acceptsRequests(), "requests to be accepted as before");
     });
 }
 
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -88,6 +88,41 @@
     });
 }
 
+// Guards against a restarted node that sends requests to an endpoint whose departure an earlier process has acknowledged without storing
+// it: the stored record alone does not open the gate.
+Test(mesh, departure_acknowledged_without_the_store_holds_after_a_restart)
+{
+    tests::Story story;
+    tests::MeshTestbed bed;
+    bed.publish();
+    bed.addReady({"m1", "m2"}, "motivi");
+    bed.add("c1", "commesse");
+    bed.waitForReadyEndpoints("c1", 2);
+    const auto isOpen = [&] { return bed.node("m1").board().local.read().acceptsRequests(); };
+    bed.onLoop([&] { return bed.store->fault = tests::MetadataStore::Fault::Busy; });
+    story.equal(bed.deregister("m1"), 200, "the departure to be acknowledged while the store is down");
+    bed.kill("m1");
+    bed.start("m1");
+    bed.onLoop([&] { return bed.store->fault = tests::MetadataStore::Fault::None; });
+    bed.waitUntil([&] { return bed.node("m1").board().local.read().record().has_value(); });
+    const auto before = bed.requestsAt("m1");
+    story.section("the store has the record of before the departure", [&] {
+        story.check(!bed.onLoop(isOpen), "the node to take no requests for the endpoint");
+        for (int at = 0; at < 20; ++at) {
+            story.equal(bed.request("c1", "/order/1", "POST").head.status, 200, "the other endpoint to serve the request");
+        }
+        story.equal(bed.requestsAt("m1"), before, "no request to reach the departed endpoint");
+    });
+    story.section("a heartbeat from before the departure arrives late", [&] {
+        story.equal(bed.heartbeat("m1", 2), 200, "it to be acknowledged");
+        story.check(!bed.onLoop(isOpen), "the node to take no requests for the endpoint");
+    });
+    story.section("the endpoint goes on with its heartbeats", [&] {
+        story.equal(bed.heartbeat("m1", 3), 200, "the next one to be acknowledged");
+        story.check(bed.onLoop(isOpen), "the node to take requests");
+    });
+}
+
 // Guards against an endpoint that receives more requests than the limit that it states, summed over all nodes (incident 0001).
 Test(mesh, endpoint_with_a_rate_limit_gets_no_more_requests_from_all_nodes)
 {
