--- a/src/net/messageparser.h
+++ b/src/net/messageparser.h
@@ -13,9 +13,8 @@
 
 namespace figpulley::net
 {
-/// Fewest bytes with which the parser may be called again after it has asked for more: a shorter rest of a message than the last chunk and
-/// the end of the trailer does not exist, and the parser asserts that it gets as many.
-inline constexpr std::size_t minBytesAfterNeedMore = 5;
+/// Fewest bytes from the header of a chunk to the end of the message: the last chunk and the end of the trailer.
+inline constexpr std::size_t minChunkHeaderBytes = 5;
 
 /// Parses one HTTP message incrementally with the parser of Boost.Beast.
 template<bool isRequest>
@@ -30,6 +29,14 @@
     std::function<void(std::string_view)> onBody; ///< receives the body; if null, the body is stored in `body`
     std::string body;
 
+    /// Whether the parser may be called again after it has asked for more bytes. It asserts that it gets a whole last chunk where it
+    /// expects a chunk header. Anywhere else a message may end with fewer bytes.
+    [[nodiscard]] bool canContinueWith(std::size_t bytes) const
+    {
+        const bool expectsChunkHeader = this->is_header_done() && this->chunked();
+        return !expectsChunkHeader || bytes >= minChunkHeaderBytes;
+    }
+
 protected:
     using ErrorCode = boost::beast::error_code;
     using View = boost::beast::string_view;
--- a/src/net/relayclient.cpp
+++ b/src/net/relayclient.cpp
@@ -311,7 +311,7 @@
     this->received += bytes.size();
     std::size_t parsedBytes = 0;
     while (parsedBytes < this->input.size()) {
-        if (this->isMoreNeeded && this->input.size() - parsedBytes < minBytesAfterNeedMore) {
+        if (this->isMoreNeeded && !this->parser->canContinueWith(this->input.size() - parsedBytes)) {
             break;
         }
         boost::beast::error_code error;
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -276,7 +276,7 @@
         this->parser->body_limit(this->server.limits.bodyBytes);
     }
     while (this->state == State::Reading && !this->isClosed && !this->input.empty()) {
-        if (this->isMoreNeeded && this->input.size() < minBytesAfterNeedMore) {
+        if (this->isMoreNeeded && !this->parser->canContinueWith(this->input.size())) {
             break;
         }
         boost::beast::error_code error;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -264,6 +264,69 @@
     });
 }
 
+// Guards against a message that is never parsed because the last bytes of its head arrive by themselves: a request without an answer, and
+// a response that is lost at the timeout.
+Test(net, heads_may_arrive_in_any_pieces)
+{
+    tests::Story story;
+    net::LoopThread thread;
+    // All ways to cut a message into two pieces, and one byte in each of the last pieces.
+    const auto splitsOf = [](const std::string &message) {
+        std::vector<std::vector<std::string>> splits;
+        for (std::size_t at = 1; at < message.size(); ++at) {
+            splits.push_back({message.substr(0, at), message.substr(at)});
+        }
+        const auto tail = message.size() - 5;
+        splits.push_back({message.substr(0, tail)});
+        for (std::size_t at = tail; at < message.size(); ++at) {
+            splits.back().push_back(message.substr(at, 1));
+        }
+        return splits;
+    };
+    story.section("a request", [&] {
+        std::unique_ptr<net::RelayServer> server;
+        thread.call([&] {
+            server = std::make_unique<net::RelayServer>(
+                thread.loop(), net::Address {"127.0.0.1", 0},
+                [](const std::shared_ptr<net::HttpExchange> &exchange) {
+                    exchange->respond({200, {}, "ok"});
+                },
+                net::RelayServerLimits {.headerTimeout = std::chrono::seconds(1)});
+        });
+        const auto address = thread.call([&] { return server->address(); });
+        for (const auto &message : {std::string("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"),
+                                    std::string("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx")}) {
+            for (const auto &pieces : splitsOf(message)) {
+                story.check(tests::exchangeRaw(address, pieces).starts_with("HTTP/1.1 200"), "the request to be served: " + pieces.front());
+            }
+        }
+        thread.call([&] { server.reset(); });
+    });
+    story.section("a response", [&] {
+        for (const auto &message :
+             {std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), std::string("HTTP/1.1 204 None\r\nX: y\r\n\r\n"),
+              std::string("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")}) {
+            for (const auto &pieces : splitsOf(message)) {
+                tests::RawServer raw([&](int, const std::string &) { return pieces.front(); });
+                raw.laterPieces.assign(pieces.begin() + 1, pieces.end());
+                std::promise<core::ErrorKind> ended;
+                std::unique_ptr<net::RelayClient> client;
+                thread.call([&] {
+                    client = std::make_unique<net::RelayClient>(thread.loop());
+                    net::ClientRequest request;
+                    request.url = "http://" + raw.address().toString() + "/";
+                    request.timeout = std::chrono::milliseconds(500);
+                    net::ClientCallbacks callbacks;
+                    callbacks.onDone = [&ended](const net::ClientResult &result) { ended.set_value(result.kind); };
+                    client->send(request, std::move(callbacks));
+                });
+                story.equal(ended.get_future().get(), core::ErrorKind::None, "the response to be complete: " + pieces.front());
+                thread.call([&] { client.reset(); });
+            }
+        }
+    });
+}
+
 // Guards against a response that ends with its connection and is noticed only at the timeout, because its last bytes and the end of the
 // connection are reported together.
 Test(net, end_of_a_connection_is_noticed_together_with_its_last_bytes)
