--- a/src/discovery/endpointrecord.cpp
+++ b/src/discovery/endpointrecord.cpp
@@ -24,11 +24,6 @@
 constexpr std::array<std::string_view, 4> stateNames {"ready", "draining", "gone", "silent"};
 static_assert(stateNames.size() == static_cast<std::size_t>(EndpointState::Silent) + 1, "every state has a name");
 
-// Larger numbers can only be errors of the writer. A record with a false incarnation would hide all later ones.
-constexpr std::int64_t maxSlots = 1'000'000;
-constexpr std::int64_t maxIncarnation = 253'402'300'799'999; // Unix milliseconds of the end of the year 9999
-constexpr std::int64_t maxColdMs = 24LL * 3600 * 1000;
-
 std::optional<std::string> findString(const nlohmann::json &object, const char *key)
 {
     const auto found = object.find(key);
--- a/src/discovery/endpointrecord.h
+++ b/src/discovery/endpointrecord.h
@@ -7,6 +7,11 @@
 
 namespace figpulley::discovery
 {
+/// Largest numbers of a valid record. Larger ones can only be errors of the writer, and a false incarnation would hide all later ones.
+inline constexpr std::int64_t maxSlots = 1'000'000;
+inline constexpr std::int64_t maxIncarnation = 253'402'300'799'999; ///< Unix milliseconds of the end of the year 9999
+inline constexpr std::int64_t maxColdMs = 24LL * 3600 * 1000;
+
 /// Lifecycle state of an endpoint.
 enum class EndpointState : std::uint8_t {
     Ready,
--- a/src/discovery/localendpoint.cpp
+++ b/src/discovery/localendpoint.cpp
@@ -59,7 +59,7 @@
 
 UpdateResult LocalEndpoint::applyHeartbeat(const Heartbeat &heartbeat, core::TimePoint now)
 {
-    if (heartbeat.service != this->identity.service) {
+    if (heartbeat.service != this->identity.service || heartbeat.address != this->identity.address) {
         return UpdateResult::Foreign;
     }
     const bool replacesOther = this->isRecordOfOther(heartbeat.id);
--- a/src/discovery/localendpoint.h
+++ b/src/discovery/localendpoint.h
@@ -14,6 +14,7 @@
 {
     std::string node; ///< ip:port of the node's ingress
     std::string service; ///< service of this VM according to the settings
+    std::string address; ///< ip:port of the endpoint according to the settings
     std::string zone;
 };
 
@@ -22,7 +23,7 @@
     Unchanged, ///< nothing that must be written to the store has changed
     Changed, ///< the record has changed and must be written to the store
     Stale, ///< ignored: it belongs to another incarnation, or a later heartbeat has arrived before it
-    Foreign, ///< ignored: it names another service than this VM's
+    Foreign, ///< ignored: it names another service or address than this VM's
 };
 
 /// State of the endpoint on this VM, derived from its heartbeats and the stored record. Decides whether new requests may reach the
--- a/src/mesh/localregistrar.cpp
+++ b/src/mesh/localregistrar.cpp
@@ -40,7 +40,8 @@
     , probe(std::make_shared<EndpointProbe>(context, [this](const std::string &endpointId) { this->handleHealthy(endpointId); }))
 {
     const auto &settings = context.settings;
-    context.board.local.write() = discovery::LocalEndpoint({settings.ingress.toString(), settings.service, settings.availabilityZone});
+    context.board.local.write() =
+        discovery::LocalEndpoint({settings.ingress.toString(), settings.service, settings.upstream.toString(), settings.availabilityZone});
 }
 
 void LocalRegistrar::start()
@@ -128,7 +129,8 @@
     const bool wasOpen = local.acceptsRequests();
     const auto updateResult = local.applyHeartbeat(heartbeat, core::steadyNow());
     if (updateResult == UpdateResult::Foreign) {
-        core::log(core::LogLevel::Warning, "heartbeat.foreign", {{"endpoint", heartbeat.id}, {"service", heartbeat.service}});
+        core::log(core::LogLevel::Warning, "heartbeat.foreign",
+                  {{"endpoint", heartbeat.id}, {"service", heartbeat.service}, {"address", heartbeat.address}});
         respond(httpBadRequest);
         return;
     }
--- a/src/platform/platformwireformat.cpp
+++ b/src/platform/platformwireformat.cpp
@@ -1,13 +1,16 @@
 #include "platform/platformwireformat.h"
 
 #include "core/json.h"
+#include "discovery/endpointrecord.h"
 #include "platform/names.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <chrono>
 #include <cmath>
 #include <limits>
+#include <stdexcept>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -42,7 +45,27 @@
     return isNumber && std::isfinite(rate) && rate >= 0 ? std::optional(rate) : std::nullopt;
 }
 
-// Reads a heartbeat. The sender is not trusted, so every field is checked.
+constexpr std::array heartbeatTexts {names::service, names::address, names::zone, names::version, names::state};
+constexpr double maxSlots = 1e6;
+constexpr double maxColdSeconds = 24.0 * 3600;
+static_assert(maxSlots <= discovery::maxSlots && maxColdSeconds * 1000 <= discovery::maxColdMs, "records of these heartbeats are valid");
+
+// Reads the start time of an endpoint; nothing if it is missing.
+// Throws if it is no whole number of the range that records allow.
+std::optional<std::int64_t> readIncarnation(const json &body)
+{
+    const auto found = body.find(names::incarnation);
+    if (found == body.end()) {
+        return std::nullopt;
+    }
+    const auto incarnation = core::countOf(*found);
+    if (incarnation > static_cast<std::uint64_t>(discovery::maxIncarnation)) {
+        throw std::out_of_range("the start time is out of range");
+    }
+    return static_cast<std::int64_t>(incarnation);
+}
+
+// Reads a heartbeat. It may come from another writer, so it counts only as a whole: an incomplete one must not replace an endpoint.
 mesh::ControlCall readHeartbeat(std::string id, const json &body)
 {
     if (!body.is_object()) {
@@ -50,12 +73,16 @@
     }
     const auto isText = [&body](const char *key) { return body.contains(key) && body[key].is_string(); };
     const auto isNumber = [&body](const char *key) { return body.contains(key) && body[key].is_number(); };
-    if (id.empty() || !isText(names::service) || !isText(names::address) || !isText(names::state)) {
-        return mesh::MalformedCall {"the heartbeat needs an id in its path and the strings Service, Address and State"};
+    const auto isInRange = [&](const char *key, double highest) {
+        return isNumber(key) && body[key].get<double>() >= 0 && body[key].get<double>() <= highest;
+    };
+    const bool hasTexts = std::ranges::all_of(heartbeatTexts, isText);
+    if (id.empty() || !hasTexts) {
+        return mesh::MalformedCall {"the heartbeat needs an id in its path and the strings Service, Address, Zone, Version and State"};
     }
-    const auto sequence = body.contains(names::sequence) ? core::wholeNumber(body[names::sequence]) : std::nullopt;
-    if (!isNumber(names::slots) || !sequence) {
-        return mesh::MalformedCall {"the heartbeat needs the number Slots and the integer Seq"};
+    const std::int64_t sequence = body.contains(names::sequence) ? core::wholeNumber(body[names::sequence]).value_or(-1) : -1;
+    if (!isInRange(names::slots, maxSlots) || !isInRange(names::coldRemaining, maxColdSeconds) || sequence < 0) {
+        return mesh::MalformedCall {"the heartbeat needs the numbers Slots and ColdRemainingS and the integer Seq, in their range"};
     }
     const auto state = body[names::state].get<std::string>();
     if (state != names::stateReady && state != names::stateDraining) {
@@ -65,34 +92,23 @@
     heartbeat.id = std::move(id);
     heartbeat.service = body[names::service].get<std::string>();
     heartbeat.address = body[names::address].get<std::string>();
-    heartbeat.zone = isText(names::zone) ? body[names::zone].get<std::string>() : std::string();
-    heartbeat.version = isText(names::version) ? body[names::version].get<std::string>() : std::string();
-    heartbeat.slots = static_cast<int>(std::clamp(body[names::slots].get<double>(), 0.0, 1e6));
+    heartbeat.zone = body[names::zone].get<std::string>();
+    heartbeat.version = body[names::version].get<std::string>();
+    heartbeat.slots = static_cast<int>(body[names::slots].get<double>());
     heartbeat.isDraining = state == names::stateDraining;
-    heartbeat.sequence = *sequence;
-    if (isNumber(names::coldRemaining)) {
-        heartbeat.coldRemaining = fromSeconds(body[names::coldRemaining].get<double>());
-    }
-    if (body.contains(names::incarnation)) {
-        const auto incarnation = core::wholeNumber(body[names::incarnation]);
-        if (!incarnation) {
-            return mesh::MalformedCall {"born of the heartbeat must be an integer"};
-        }
-        heartbeat.incarnation = *incarnation;
-    }
+    heartbeat.sequence = sequence;
+    heartbeat.coldRemaining = fromSeconds(body[names::coldRemaining].get<double>());
+    heartbeat.incarnation = readIncarnation(body).value_or(0);
     return heartbeat;
 }
 
-mesh::ControlCall readDeregistration(std::string id, const json &body)
+// Reads a deregistration. Its body is optional; one that cannot be read may have named another incarnation.
+mesh::ControlCall readDeregistration(std::string id, std::string_view text, const json &body)
 {
-    if (id.empty()) {
-        return mesh::MalformedCall {"the deregistration needs an id in its path"};
-    }
-    discovery::Deregistration deregistration {std::move(id), 0};
-    if (body.is_object() && body.contains(names::incarnation)) {
-        deregistration.incarnation = core::wholeNumber(body[names::incarnation]).value_or(0);
+    if (id.empty() || (!text.empty() && !body.is_object())) {
+        return mesh::MalformedCall {"the deregistration needs an id in its path, and a JSON object as its body if it has one"};
     }
-    return deregistration;
+    return discovery::Deregistration {std::move(id), text.empty() ? 0 : readIncarnation(body).value_or(0)};
 }
 
 std::vector<routing::WeightedService> readSplit(const json &path)
@@ -218,9 +234,9 @@
             return readHeartbeat(std::string(path.substr(names::heartbeatPath.size())), body);
         }
         if (path.starts_with(names::deregistrationPath)) {
-            return readDeregistration(std::string(path.substr(names::deregistrationPath.size())), body);
+            return readDeregistration(std::string(path.substr(names::deregistrationPath.size())), request.body, body);
         }
-    } catch (const json::exception &error) {
+    } catch (const std::exception &error) {
         return mesh::MalformedCall {error.what()};
     }
     return mesh::MalformedCall {"unknown method or path of a control call"};
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -13,6 +13,8 @@
 
 namespace
 {
+constexpr const char *endpointAddress = "10.0.0.1:8301";
+
 core::TimePoint after(core::Duration duration)
 {
     return core::TimePoint {} + 1h + duration;
@@ -20,7 +22,7 @@
 
 discovery::LocalEndpoint localEndpoint()
 {
-    return discovery::LocalEndpoint({"10.0.0.1:8300", "motivi", "mineo"});
+    return discovery::LocalEndpoint({"10.0.0.1:8300", "motivi", endpointAddress, "mineo"});
 }
 
 discovery::Heartbeat heartbeat(std::int64_t incarnation, std::int64_t sequence, bool isDraining = false, std::string id = "i-1")
@@ -28,6 +30,7 @@
     discovery::Heartbeat result;
     result.id = std::move(id);
     result.service = "motivi";
+    result.address = endpointAddress;
     result.slots = 10;
     result.incarnation = incarnation;
     result.sequence = sequence;
@@ -120,6 +123,31 @@
         auto foreign = heartbeat(100, 1);
         foreign.service = "commesse";
         story.equal(local.applyHeartbeat(foreign, after(0s)), UpdateResult::Foreign, "the heartbeat to be rejected as foreign");
+        foreign = heartbeat(100, 1);
+        foreign.address = "10.0.0.9:8301";
+        story.equal(local.applyHeartbeat(foreign, after(0s)), UpdateResult::Foreign, "one of another address to be rejected, too");
+    });
+    story.section("a deregistration of an endpoint that is not known", [&] {
+        auto local = localEndpoint();
+        static_cast<void>(local.applyDeregistration({"x-1", 0}, after(0s), 5000));
+        story.equal(local.applyHeartbeat(heartbeat(100, 1), after(1s)), UpdateResult::Changed, "the heartbeat of another one to count");
+        static_cast<void>(local.mergeStoredRecord(std::nullopt, after(1s)));
+        story.check(local.acceptsRequests(), "requests to be accepted for it");
+        story.equal(local.applyHeartbeat(heartbeat(400, 1, false, "x-1"), after(2s)), UpdateResult::Stale,
+                    "a late heartbeat of the one that has left to be stale");
+        story.equal(local.applyDeregistration({"x-2", 700}, after(3s), 5000), UpdateResult::Stale,
+                    "the deregistration of one that is not known to leave the record");
+        story.equal(local.applyHeartbeat(heartbeat(700, 1, false, "x-2"), after(4s)), UpdateResult::Stale,
+                    "its late heartbeat to be stale");
+        story.equal(local.record()->id, std::string("i-1"), "the record to be the one of the endpoint in service");
+    });
+    story.section("a deregistration of an endpoint that is not known, before the store is read", [&] {
+        auto local = localEndpoint();
+        static_cast<void>(local.applyDeregistration({"x-1", 800}, after(0s), 5000));
+        story.check(!local.mergeStoredRecord(recordOf(100, EndpointState::Ready), after(1s)), "the stored record to be kept");
+        story.equal(local.record()->id, std::string("i-1"), "the record to be the stored one");
+        story.equal(local.applyHeartbeat(heartbeat(800, 1, false, "x-1"), after(2s)), UpdateResult::Stale,
+                    "a late heartbeat of the one that has left to be stale");
     });
 }
 
--- a/tests/faulty_writer_test.cpp
+++ b/tests/faulty_writer_test.cpp
@@ -183,8 +183,9 @@
             net::HttpRequest request;
             request.method = "POST";
             request.path = "/v1/Instances.Heartbeat/i-1";
-            request.body = fmt::format(R"({{"Service":"a","Address":"b","Zone":{},"Slots":{},"State":"ready","Seq":{},"born":{}}})", zone,
-                                       slots, sequence, born);
+            request.body = fmt::format(
+                R"({{"Service":"a","Address":"b","Zone":{},"Version":"v","Slots":{},"State":"ready","ColdRemainingS":0,"Seq":{},"born":{}}})",
+                zone, slots, sequence, born);
             return wire.readControlCall(request);
         };
         const auto isMalformed = [](const mesh::ControlCall &call) { return std::holds_alternative<mesh::MalformedCall>(call); };
@@ -227,6 +228,60 @@
     });
 }
 
+// Guards against a service that stays away because one incomplete or foreign message has replaced its endpoint.
+Test(faulty_writer, odd_control_calls_replace_no_endpoint)
+{
+    tests::Story story;
+    tests::MeshTestbed bed;
+    bed.publish();
+    bed.addReady({"m1"}, "motivi");
+    bed.add("c1", "commesse");
+    bed.waitForReadyEndpoints("c1", 1);
+    const auto checkServed = [&](int sequence) {
+        story.equal(bed.heartbeat("m1", sequence), 200, "the endpoint's next heartbeat to be acknowledged");
+        story.equal(bed.onLoop([&] { return bed.node("m1").board().local.read().record()->id; }), std::string("i-m1"),
+                    "the record to be the endpoint's");
+        story.equal(bed.request("c1", "/look/1").head.status, 200, "its requests to be served");
+    };
+    const auto call = [&](const std::string &path, const std::string &body) { return bed.sendControlCall("m1", path, body); };
+    const std::string complete = fmt::format(
+        R"({{"Service":"motivi","Address":"{}","Zone":"mineo","Version":"v1","Slots":4,"State":"ready","ColdRemainingS":0,"Seq":1,"born":900}})",
+        bed.upstreamOf("m1").toString());
+    const auto altered = [&complete](const std::string &from, const std::string &to) {
+        auto body = complete;
+        body.replace(body.find(from), from.size(), to);
+        return body;
+    };
+    story.section("an incomplete heartbeat of a later start", [&] {
+        story.equal(call("/v1/Instances.Heartbeat/x-1", altered(R"("Zone":"mineo","Version":"v1",)", "")), 400, "it to be refused");
+        checkServed(2);
+    });
+    story.section("a heartbeat that names another address", [&] {
+        story.equal(call("/v1/Instances.Heartbeat/x-2", altered(bed.upstreamOf("m1").toString(), "127.0.0.1:9")), 400, "it to be refused");
+        checkServed(3);
+    });
+    story.section("a departure of an endpoint that is not this VM's", [&] {
+        static_cast<void>(call("/v1/Instances.Deregister/x-3", ""));
+        static_cast<void>(call("/v1/Instances.Deregister/x-3", R"({"born":800})"));
+        story.equal(call("/v1/Instances.Deregister/i-m1", R"({"born":"x"})"), 400, "one that cannot be read to be refused");
+        checkServed(4);
+    });
+    story.section("a departure of another endpoint at a node that has just started", [&] {
+        bed.kill("m1");
+        bed.onLoop([&] { return bed.store->fault = tests::MetadataStore::Fault::Busy; });
+        bed.start("m1");
+        static_cast<void>(call("/v1/Instances.Deregister/x-4", ""));
+        bed.onLoop([&] { return bed.store->fault = tests::MetadataStore::Fault::None; });
+        bed.heartbeat("m1", 5);
+        bed.heartbeat("m1", 6);
+        bed.waitUntil([&] {
+            const auto &board = bed.node("m1").board();
+            return board.config.read().table != nullptr && board.local.read().acceptsRequests();
+        });
+        checkServed(7);
+    });
+}
+
 Test(faulty_writer, json_is_split_without_decoding)
 {
     tests::Story story;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -61,6 +61,42 @@
             story.check(std::holds_alternative<mesh::MalformedCall>(call), "the heartbeat to be malformed");
         }
     });
+    story.section("a heartbeat without one of its fields, or with one of another type or out of range", [&] {
+        const auto good = nlohmann::json::parse(goodHeartbeat);
+        const auto isMalformed = [&wire](const nlohmann::json &body) {
+            const auto call = wire.readControlCall(post("/v1/Instances.Heartbeat/i-1", body.dump()));
+            return std::holds_alternative<mesh::MalformedCall>(call);
+        };
+        story.check(!isMalformed(good), "the complete one to be decoded");
+        for (const auto &[key, value] : good.items()) {
+            auto body = good;
+            body.erase(key);
+            // Heartbeats give the start time only where it is part of the contract.
+            story.equal(isMalformed(body), key != "born", "it to be malformed without " + key);
+            for (const auto &other : {nlohmann::json(), nlohmann::json::array(), nlohmann::json::object(), nlohmann::json(true),
+                                      value.is_string() ? nlohmann::json(7) : nlohmann::json("7")}) {
+                body[key] = other;
+                story.check(isMalformed(body), "it to be malformed with another type of " + key);
+            }
+        }
+        for (const auto &[key, value] : std::vector<std::pair<std::string, nlohmann::json>> {{"Slots", -1},
+                                                                                             {"Slots", 1e9},
+                                                                                             {"ColdRemainingS", -1},
+                                                                                             {"ColdRemainingS", 1e9},
+                                                                                             {"Seq", -1},
+                                                                                             {"born", -1},
+                                                                                             {"born", 253'402'300'800'000}}) {
+            auto body = good;
+            body[key] = value;
+            story.check(isMalformed(body), "it to be malformed with " + key + " " + value.dump());
+        }
+    });
+    story.section("a deregistration whose body cannot be read", [&] {
+        for (const auto *body : {"{", "[]", R"({"born":"x"})", R"({"born":-1})", R"({"born":1.5})", "\1"}) {
+            const auto call = wire.readControlCall(post("/v1/Instances.Deregister/i-1", body));
+            story.check(std::holds_alternative<mesh::MalformedCall>(call), std::string("it to be malformed: ") + body);
+        }
+    });
     tests::holds("truncated and altered heartbeats are decoded without an exception", [&] {
         std::string body = goodHeartbeat;
         body[*rc::gen::inRange<std::size_t>(0, body.size())] = *rc::gen::inRange(' ', '~');
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -212,8 +212,8 @@
     const bool isDraining = vm.isDraining;
     const auto incarnation = vm.incarnation;
     request.body = fmt::format(
-        R"({{"Service":"{}","Address":"{}:1","Zone":"mineo","Version":"v1","Slots":16,"State":"{}","ColdRemainingS":0,"Seq":{},"born":{}}})",
-        vm.service, vm.ip, isDraining ? "draining" : "ready", ++vm.sequence, incarnation);
+        R"({{"Service":"{}","Address":"{}","Zone":"mineo","Version":"v1","Slots":16,"State":"{}","ColdRemainingS":0,"Seq":{},"born":{}}})",
+        vm.service, vm.endpointLink->address().toString(), isDraining ? "draining" : "ready", ++vm.sequence, incarnation);
     this->client->fetch(request, 4096, [&vm, isDraining, incarnation](const net::ClientResponse &answer) {
         const bool isAcknowledged = answer.result.kind == core::ErrorKind::None && answer.head.status == 200;
         if (isAcknowledged && isDraining && incarnation == vm.incarnation && vm.drainAcknowledgedAt == core::TimePoint {}) {
--- a/tests/support/meshtestbed.h
+++ b/tests/support/meshtestbed.h
@@ -214,8 +214,8 @@
     int heartbeat(const std::string &name, int sequence, const std::string &state = "ready", std::int64_t incarnation = 100)
     {
         const auto body = fmt::format(
-            R"({{"Service":"{}","Address":"127.0.0.1:1","Zone":"mineo","Version":"v1","Slots":4,"State":"{}","ColdRemainingS":0,"Seq":{},"born":{}}})",
-            this->vms.at(name).service, state, sequence, incarnation);
+            R"({{"Service":"{}","Address":"{}","Zone":"mineo","Version":"v1","Slots":4,"State":"{}","ColdRemainingS":0,"Seq":{},"born":{}}})",
+            this->vms.at(name).service, this->upstreamOf(name).toString(), state, sequence, incarnation);
         return this->sendControlCall(name, "/v1/Instances.Heartbeat/i-" + name, body);
     }
 
@@ -226,6 +226,23 @@
         return this->sendControlCall(name, "/v1/Instances.Deregister/i-" + name, "{}");
     }
 
+    /// Sends a call of any content to a VM's control address.
+    /// @returns the HTTP status of the response
+    int sendControlCall(const std::string &name, const std::string &path, const std::string &body)
+    {
+        net::ClientRequest request;
+        request.method = "POST";
+        request.url = fmt::format("http://{}{}", this->vms.at(name).settings.control.toString(), path);
+        request.body = body;
+        return this->caller.call(request).head.status;
+    }
+
+    /// @returns the address of a VM's endpoint
+    [[nodiscard]] net::Address upstreamOf(const std::string &name)
+    {
+        return this->thread.call([&] { return this->vms.at(name).settings.upstream; });
+    }
+
     /// Sends a client request to a VM's entrance and waits for the response.
     [[nodiscard]] net::ClientResponse request(const std::string &name, const std::string &path, const std::string &method = "GET")
     {
@@ -323,15 +340,6 @@
         int requests = 0;
     };
 
-    int sendControlCall(const std::string &name, const std::string &path, const std::string &body)
-    {
-        net::ClientRequest request;
-        request.method = "POST";
-        request.url = fmt::format("http://{}{}", this->vms.at(name).settings.control.toString(), path);
-        request.body = body;
-        return this->caller.call(request).head.status;
-    }
-
     net::LoopThread thread;
     platform::PlatformWireFormat wire;
     std::unique_ptr<net::HttpClient> client;
