--- a/src/mesh/inboundproxy.cpp
+++ b/src/mesh/inboundproxy.cpp
@@ -33,6 +33,7 @@
 constexpr core::Duration upstreamTimeoutMargin = 20ms; // lets the timer of the sending node expire first
 constexpr core::Duration minStartDelay = 2ms; // starts several attempts per timer under high rate limits
 constexpr core::Duration refusedRetryAfter = 200ms;
+constexpr int runTimeAllowance = 2; // multiple of the mean run time in which most runs end
 constexpr int httpOk = 200;
 constexpr int httpFirstNonSuccess = 300;
 constexpr int httpBadGateway = 502;
@@ -526,6 +527,18 @@
     this->applyDecisions(this->queue.refuseAll(ErrorKind::NotServing));
 }
 
+void InboundProxy::refuseUnfinishable(core::TimePoint dueAt)
+{
+    if (this->queue.waiting() > 0 && core::steadyNow() + runTimeAllowance * this->queue.meanRunTime() > dueAt) {
+        this->refuseQueued();
+    }
+}
+
+std::size_t InboundProxy::unsentResponses() const noexcept
+{
+    return this->server->unsentResponses();
+}
+
 void InboundProxy::scheduleExpiry()
 {
     if (this->queue.waiting() == 0 || this->expiryTimer != net::EventLoop::noTimer) {
--- a/src/mesh/inboundproxy.h
+++ b/src/mesh/inboundproxy.h
@@ -32,6 +32,10 @@
     /// Refuses all queued attempts, because the endpoint accepts no new requests any more.
     void refuseQueued();
 
+    /// Refuses all queued attempts once an attempt that starts now would probably not end in time.
+    /// @param dueAt time by which attempts have to end
+    void refuseUnfinishable(core::TimePoint dueAt);
+
     [[nodiscard]] routing::EndpointLoad load() const noexcept;
 
     /// Returns the requests that the endpoint is running.
@@ -49,6 +53,9 @@
     /// Returns the number of attempts that are running or queued.
     [[nodiscard]] std::size_t inFlight() const noexcept;
 
+    /// Number of responses that were not sent completely yet; a client that reads slowly delays them.
+    [[nodiscard]] std::size_t unsentResponses() const noexcept;
+
 private:
     class Attempt;
 
--- a/src/mesh/meshboard.h
+++ b/src/mesh/meshboard.h
@@ -25,6 +25,7 @@
 {
     bool isStopping = false;
     core::TimePoint stopRequestedAt {};
+    core::TimePoint responsesDueAt {}; ///< time by which requests have to end, so that their responses are sent before the process exits
 };
 
 /// What the endpoint on this VM states about itself in its responses.
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -24,6 +24,7 @@
 constexpr core::Duration minStopDuration = 3s; // new clients arrive until two readiness checks 1 s apart have failed
 constexpr core::Duration minIdleBeforeExit = 300ms;
 constexpr core::Duration graceMargin = 300ms; // the process has to exit before it is killed
+constexpr core::Duration responseMargin = 600ms; // time before the end of the grace period in which the last responses are written
 // Changes of endpoints arrive in series and are batched for this time. Until a change is known here, the node of the endpoint refuses
 // the attempts that the endpoint's current state does not allow.
 constexpr core::Duration endpointChangeDelay = 50ms;
@@ -322,6 +323,7 @@
     auto &lifecycle = this->boardSections.lifecycle.write();
     lifecycle.isStopping = true;
     lifecycle.stopRequestedAt = core::steadyNow();
+    lifecycle.responsesDueAt = lifecycle.stopRequestedAt + this->settings.grace - responseMargin;
     this->changes.close();
     core::log(core::LogLevel::Info, "node.stopping", {{"in_flight", fmt::to_string(this->inFlight())}});
     this->checkStop();
@@ -331,13 +333,15 @@
 {
     const auto now = core::steadyNow();
     const auto elapsed = now - this->boardSections.lifecycle.read().stopRequestedAt;
-    const bool isIdle = this->inFlight() == 0 && now - this->outbound->lastArrival() > minIdleBeforeExit;
+    const auto unsent = this->outbound->unsentResponses() + this->inbound->unsentResponses();
+    const bool isIdle = this->inFlight() == 0 && unsent == 0 && now - this->outbound->lastArrival() > minIdleBeforeExit;
     if ((elapsed > minStopDuration && isIdle) || elapsed > this->settings.grace - graceMargin) {
-        const auto cutRequests = this->inFlight();
+        const auto cutRequests = std::max(this->inFlight(), unsent);
         this->outbound->endOpenCalls();
         std::exchange(this->onStopped, nullptr)(cutRequests);
         return;
     }
+    this->inbound->refuseUnfinishable(this->boardSections.lifecycle.read().responsesDueAt);
     this->stopTimer = this->loop.callAfter(stopCheckInterval, [this] { this->checkStop(); });
 }
 } // namespace figpulley::mesh
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -46,6 +46,9 @@
 
     [[nodiscard]] const MeshBoard &board() const noexcept;
 
+    /// Number of requests of clients and of attempts of other nodes that have not ended.
+    [[nodiscard]] std::size_t inFlight() const noexcept;
+
 private:
     void checkStop();
     void reportLoad();
@@ -55,7 +58,6 @@
     void handleInquiryEnded();
     void scheduleRemovalOfLost(std::uint64_t era);
     void handleStoreRestored(std::uint64_t earlierEra, std::uint64_t era);
-    [[nodiscard]] std::size_t inFlight() const noexcept;
     [[nodiscard]] std::shared_ptr<CollectionFollower> follow(const std::string &collection, const CollectionListener &listener,
                                                              core::Duration changeDelay);
     [[nodiscard]] core::Duration watchTimeout();
--- a/src/mesh/outboundproxy.cpp
+++ b/src/mesh/outboundproxy.cpp
@@ -34,7 +34,6 @@
 constexpr core::Duration hopMargin = 20ms;
 constexpr core::Duration minAttemptTime = 2 * hopMargin;
 constexpr core::Duration stopRefusalDelay = 3s; // two readiness checks 1 s apart have failed by then
-constexpr core::Duration stopMargin = 600ms; // time before the end of the grace time in which responses are written
 constexpr core::Duration noEndpointRetryAfter = 300ms;
 constexpr int httpInternalError = 500;
 
@@ -58,6 +57,11 @@
         return AttemptOutcome::Failed;
     }
 }
+// Time within which a request of a route usually has its response. A route without a latency objective has its timeout in its place.
+core::Duration expectedDuration(const routing::Route &route)
+{
+    return std::min(route.objective, route.timeout / 2);
+}
 } // namespace
 
 /// One request of a client or of the endpoint on this VM, and its attempts.
@@ -103,12 +107,16 @@
         }
         this->plan = AttemptPlan(this->route->isIdempotent(), this->route->maxAttempts);
         this->service = this->proxy.splits.pick(*this->route, context.random);
+        if (lifecycle.isStopping && lifecycle.responsesDueAt - this->arrived < expectedDuration(*this->route)) {
+            this->refuse(ErrorKind::Stopping, noEndpointRetryAfter);
+            return;
+        }
         this->chain = this->proxy.chains.contextOf(context.wire.parentRequestId(this->requestId), this->requestId, this->route->priority);
         this->proxy.retryBudget.countRequest(this->service, this->chain.isRetry, this->arrived);
         this->deadline = this->arrived + std::min(head.clientTimeout.value_or(defaultClientTimeout), this->route->timeout);
         if (lifecycle.isStopping) {
             // The endpoint's node refuses an attempt as not run if it cannot be served before this process exits.
-            this->deadline = std::min(this->deadline, lifecycle.stopRequestedAt + context.settings.grace - stopMargin);
+            this->deadline = std::min(this->deadline, lifecycle.responsesDueAt);
         }
         const bool hasClientTimeout = !this->chain.isNested && head.clientTimeout.has_value();
         this->spentBefore = hasClientTimeout
@@ -450,6 +458,11 @@
     return this->calls.size();
 }
 
+std::size_t OutboundProxy::unsentResponses() const noexcept
+{
+    return this->server->unsentResponses();
+}
+
 void OutboundProxy::endOpenCalls()
 {
     std::vector<std::shared_ptr<Call>> open;
--- a/src/mesh/outboundproxy.h
+++ b/src/mesh/outboundproxy.h
@@ -37,6 +37,9 @@
     /// Returns the number of requests without a complete response.
     [[nodiscard]] std::size_t inFlight() const noexcept;
 
+    /// Number of responses that were not sent completely yet; a client that reads slowly delays them.
+    [[nodiscard]] std::size_t unsentResponses() const noexcept;
+
     /// Returns the time at which the last request arrived.
     [[nodiscard]] core::TimePoint lastArrival() const noexcept;
 
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -616,6 +616,13 @@
     return localAddress(this->implementation->listener);
 }
 
+std::size_t RelayServer::unsentResponses() const noexcept
+{
+    const auto &connections = this->implementation->connections;
+    return static_cast<std::size_t>(std::count_if(connections.begin(), connections.end(),
+                                                  [](const auto &entry) { return entry.second->state == Connection::State::Writing; }));
+}
+
 void RelayServer::setLimits(const RelayServerLimits &limits)
 {
     this->implementation->limits = limits;
--- a/src/net/relayserver.h
+++ b/src/net/relayserver.h
@@ -38,6 +38,9 @@
     /// Returns the listening address with its actual port.
     [[nodiscard]] Address address() const;
 
+    /// Returns the number of connections whose client has not been sent the whole response yet.
+    [[nodiscard]] std::size_t unsentResponses() const noexcept;
+
     /// Replaces the limits, also for open connections.
     void setLimits(const RelayServerLimits &limits);
 
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -4,7 +4,9 @@
 
 #include "mesh/attempthead.h"
 #include "mesh/conditionheader.h"
+#include "mesh/updaters.h"
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -655,6 +657,41 @@
     });
 }
 
+// Guards against a stop that cuts attempts in the queue: they have not run, and their callers have to hear so while there is time.
+Test(mesh, stop_refuses_queued_attempts_that_could_not_end)
+{
+    tests::Story story;
+    tests::MeshTestbed bed;
+    bed.publish();
+    std::vector<std::shared_ptr<net::HttpExchange>> held;
+    bed.add("m1", "motivi", [&](const std::shared_ptr<net::HttpExchange> &exchange) { held.push_back(exchange); });
+    bed.add("c1", "commesse");
+    bed.setGrace("m1", std::chrono::seconds(1));
+    bed.heartbeat("m1", 1);
+    bed.waitForReadyEndpoints("c1", 1);
+    constexpr int slots = 4;
+    std::vector<std::thread> clients;
+    std::vector<net::ClientResponse> answers(slots + 1);
+    for (auto &answer : answers) {
+        // Nested calls may wait until their deadline.
+        clients.emplace_back([&] { answer = bed.request("c1", "/order/1", "POST", "parent"); });
+    }
+    bed.waitUntil([&] { return held.size() == slots && bed.node("m1").inFlight() == slots + 1; });
+    std::promise<std::size_t> stopped;
+    bed.stop("m1", stopped);
+    story.equal(stopped.get_future().get(), static_cast<std::size_t>(slots), "only the attempts at the endpoint to be cut");
+    bed.kill("m1");
+    for (auto &client : clients) {
+        client.join();
+    }
+    story.equal(std::count_if(answers.begin(), answers.end(), [](const auto &answer) { return answer.head.status == 503; }), 1,
+                "the queued one to be refused as not run");
+    bed.onLoop([&] {
+        held.clear();
+        return true;
+    });
+}
+
 Test(mesh, attempt_head_survives_encoding_and_rejects_truncation)
 {
     tests::holds("an encoded attempt head is decoded to the same value, and a truncated one is rejected", [] {
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -4,6 +4,8 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -254,6 +256,128 @@
     }
 }
 
+namespace
+{
+/// One request of a client around a planned stop.
+struct StopRequest
+{
+    std::string id;
+    core::Duration sentAfter {}; ///< time from the SIGTERM to the request
+    core::Duration workTime {}; ///< time that the endpoint takes for it
+    int status = 0; ///< 0 if the connection ended without a complete response
+    bool hasReachedEndpoint = false;
+};
+
+/// Endpoint that takes the time that a request's path states, and records the ids of the requests that it runs.
+class RecordingEndpoint
+{
+public:
+    void handle(Fleet &fleet, const std::shared_ptr<net::HttpExchange> &exchange)
+    {
+        const auto &request = exchange->request();
+        const std::string id(net::findHeader(request.headers, "X-Request-Id"));
+        if (!id.empty()) {
+            const std::lock_guard lock(this->mutex);
+            this->ids.insert(id);
+        }
+        const auto number = request.path.rfind('/') + 1;
+        const auto workTime = std::chrono::milliseconds(std::atoi(request.path.c_str() + number));
+        fleet.loop().callAfter(workTime, [this, exchange, id] {
+            exchange->respond({200, {{"X-Request-Id", id}, {"X-Server-Stamp", "stamp"}}, std::string(this->bodyBytes, 'x')});
+        });
+    }
+
+    [[nodiscard]] bool hasRun(const std::string &id)
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->ids.contains(id);
+    }
+
+    std::size_t bodyBytes = 100;
+
+private:
+    std::mutex mutex;
+    std::set<std::string> ids;
+};
+} // namespace
+
+// Guards against a node that takes requests late in its grace period, passes them on, and cuts them at its end.
+Test(process, planned_stop_finishes_what_it_takes_and_refuses_the_rest)
+{
+    tests::Story story;
+    RecordingEndpoint endpoint;
+    Fleet fleet({"127.0.0.1", 0},
+                [&](Fleet &self, const std::shared_ptr<net::HttpExchange> &exchange) { endpoint.handle(self, exchange); });
+    constexpr core::Duration objective = 3000ms; // of the routes that the requests take
+    constexpr core::Duration margin = 300ms; // for the threads of the clients
+    const auto entrance = fleet.entry->vm().entrance;
+    const auto stopped = core::steadyNow();
+    fleet.entry->signal(SIGTERM);
+    std::mutex mutex;
+    std::vector<StopRequest> requests;
+    std::vector<std::thread> clients;
+    for (int at = 0; at < 110; ++at) {
+        clients.emplace_back([&, at] {
+            StopRequest request;
+            request.id = fmt::format("stop-{}", at);
+            const bool isUnsafe = at % 2 == 0;
+            const std::vector<core::Duration> workTimes {50ms, 400ms, 1200ms, objective - margin};
+            request.workTime = workTimes[static_cast<std::size_t>(at) % workTimes.size()];
+            std::this_thread::sleep_until(stopped + at * 50ms);
+            const Client client(entrance);
+            request.sentAfter = core::steadyNow() - stopped;
+            const auto path = fmt::format("/{}/{}", isUnsafe ? "order" : "archive", core::toMilliseconds(request.workTime));
+            if (client.send(isUnsafe ? "POST" : "GET", path, request.id)) {
+                request.status = client.readResponse();
+            }
+            request.hasReachedEndpoint = endpoint.hasRun(request.id);
+            const std::lock_guard lock(mutex);
+            requests.push_back(std::move(request));
+        });
+    }
+    for (auto &client : clients) {
+        client.join();
+    }
+    story.check(fleet.entry->waitForExit(std::chrono::seconds(Fleet::defaultGraceSeconds) - (core::steadyNow() - stopped)),
+                "the process to end within its grace period");
+    int served = 0;
+    for (const auto &request : requests) {
+        const auto title = fmt::format("{} sent {} ms after the signal, work {} ms, status {}", request.id,
+                                       core::toMilliseconds(request.sentAfter), core::toMilliseconds(request.workTime), request.status);
+        story.check(!request.hasReachedEndpoint || request.status == 200, "a complete answer to what the endpoint runs: " + title);
+        story.check(request.status == 200 || request.status == 503 || request.status == 0, "a refusal to state what is true: " + title);
+        served += request.status == 200 ? 1 : 0;
+    }
+    story.check(served > 40, fmt::format("the requests of the first seconds to be served, not {}", served));
+}
+
+// Guards against a node that ends before its clients have read what it has for them.
+Test(process, planned_stop_waits_for_clients_that_read_slowly)
+{
+    tests::Story story;
+    RecordingEndpoint endpoint;
+    endpoint.bodyBytes = 16'000'000; // more than the buffers of the sockets hold
+    Fleet fleet(
+        {"127.0.0.1", 0}, [&](Fleet &self, const std::shared_ptr<net::HttpExchange> &exchange) { endpoint.handle(self, exchange); }, 10);
+    const auto stopped = core::steadyNow();
+    fleet.entry->signal(SIGTERM);
+    std::this_thread::sleep_for(500ms);
+    std::atomic<int> complete = 0;
+    std::vector<std::thread> clients;
+    for (int at = 0; at < 3; ++at) {
+        clients.emplace_back([&, at] {
+            const Client client(fleet.entry->vm().entrance, 16384);
+            static_cast<void>(client.send("GET", "/archive/1", fmt::format("slow-{}", at)));
+            complete += client.readResponse(5500us) == 200 ? 1 : 0;
+        });
+    }
+    for (auto &client : clients) {
+        client.join();
+    }
+    story.equal(complete.load(), 3,
+                fmt::format("all answers to be complete after {} ms", core::toMilliseconds(core::steadyNow() - stopped)));
+}
+
 // Guards against a node that keeps what a client has already read, for as long as the client does not catch up with the endpoint.
 Test(process, response_to_a_client_that_never_catches_up_takes_bounded_memory)
 {
--- a/tests/support/meshtestbed.h
+++ b/tests/support/meshtestbed.h
@@ -244,12 +244,16 @@
     }
 
     /// Sends a client request to a VM's entrance and waits for the response.
-    [[nodiscard]] net::ClientResponse request(const std::string &name, const std::string &path, const std::string &method = "GET")
+    /// @param parent id of the request whose run makes this one; empty for a request of a client
+    [[nodiscard]] net::ClientResponse request(const std::string &name, const std::string &path, const std::string &method = "GET",
+                                              const std::string &parent = {})
     {
         net::ClientRequest request;
         request.method = method;
         request.url = fmt::format("http://{}{}", this->vms.at(name).settings.entrance.toString(), path);
-        request.headers = {{"Host", "a.example"}, {"X-Request-Id", fmt::format("id-{}", ++this->nextRequest)}, {"X-Deadline-Ms", "4000"}};
+        request.headers = {{"Host", "a.example"},
+                           {"X-Request-Id", fmt::format("{}id-{}", parent.empty() ? "" : parent + ".", ++this->nextRequest)},
+                           {"X-Deadline-Ms", "4000"}};
         request.body = method == "POST" ? "order" : "";
         return this->caller.call(request);
     }
