--- a/src/mesh/outboundproxy.cpp
+++ b/src/mesh/outboundproxy.cpp
@@ -34,6 +34,7 @@
 constexpr core::Duration hopMargin = 20ms;
 constexpr core::Duration minAttemptTime = 2 * hopMargin;
 constexpr core::Duration stopRefusalDelay = 3s; // two readiness checks 1 s apart have failed by then
+constexpr core::Duration streamTimeoutMargin = 300ms; // time after its deadline in which a streamed response may still end
 constexpr core::Duration noEndpointRetryAfter = 300ms;
 constexpr int httpInternalError = 500;
 
@@ -199,7 +200,7 @@
         request.method = incoming.method;
         request.url = fmt::format("http://{}{}{}", this->node, incoming.path, incoming.query);
         request.body = incoming.body;
-        request.timeout = head.remaining + 1s; // the timer of the call expires earlier
+        request.timeout = head.remaining + streamTimeoutMargin; // the timer of the call expires earlier, unless the response is streamed
         request.connectTimeout = std::min(peerConnectTimeout, head.remaining);
         request.mayResend = false;
         request.maxResponseBytes = context.settings.maxResponseBytes;
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -125,6 +125,32 @@
     });
 }
 
+// Guards against a streamed response that ends long after its route's timeout, because the node of the endpoint sends nothing more.
+Test(mesh, streamed_response_ends_with_its_deadline)
+{
+    tests::Story story;
+    tests::MeshTestbed bed;
+    // Stands in for a node that freezes after the first bytes of a response.
+    tests::RawServer frozen([](int, const std::string &) {
+        return "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 1000000\r\n\r\n" + std::string(200'000, 'x');
+    });
+    bed.publish();
+    bed.add("c1", "commesse");
+    bed.waitForReadyEndpoints("c1", 0);
+    discovery::EndpointRecord record {frozen.address().toString(), "i-frozen", "motivi", "mineo", "v1", 4};
+    record.incarnation = 100;
+    bed.onLoop([&] {
+        bed.store->write("figpulley-endpoints", mesh::recordName(record.node), discovery::encode(record));
+        return true;
+    });
+    bed.waitForReadyEndpoints("c1", 1);
+    const auto sent = core::steadyNow();
+    const auto answer = bed.request("c1", "/brief/1", "POST");
+    story.check(answer.result.kind != core::ErrorKind::None, "no response that looks complete");
+    constexpr auto timeout = std::chrono::milliseconds(300); // of the route
+    story.check(core::steadyNow() - sent < timeout + std::chrono::milliseconds(500), "its end within half a second of the route's timeout");
+}
+
 // Guards against an endpoint that receives more requests than the limit that it states, summed over all nodes (incident 0001).
 Test(mesh, endpoint_with_a_rate_limit_gets_no_more_requests_from_all_nodes)
 {
