--- a/src/mesh/endpointprobe.cpp
+++ b/src/mesh/endpointprobe.cpp
@@ -17,8 +17,10 @@
 using namespace std::chrono_literals;
 
 constexpr core::Duration checkInterval = 200ms;
-constexpr int maxChecks = 20; // heartbeats confirm the endpoint later
+constexpr int maxChecks = 20; // until the configuration is known; heartbeats confirm the endpoint later
+constexpr int maxRequests = 3; // a busy endpoint may refuse a health check
 constexpr core::Duration healthTimeout = 1s; // a busy endpoint lets a health check wait for a slot
+constexpr int httpOk = 200;
 constexpr std::size_t maxHealthBytes = 64UL * 1024UL;
 } // namespace
 
@@ -37,13 +39,14 @@
 {
     if (this->checksLeft == 0) {
         this->checksLeft = maxChecks;
+        this->requestsLeft = maxRequests;
         this->check();
     }
 }
 
 void EndpointProbe::check()
 {
-    if (this->checksLeft == 0 || !this->context.board.local.read().needsConfirmation()) {
+    if (this->checksLeft == 0 || this->requestsLeft == 0 || !this->context.board.local.read().needsConfirmation()) {
         this->checksLeft = 0;
         return;
     }
@@ -63,6 +66,7 @@
 void EndpointProbe::ask(const std::string &healthPath)
 {
     this->isAsking = true;
+    --this->requestsLeft;
     net::ClientRequest request;
     request.url = fmt::format("http://{}{}", this->context.settings.upstream.toString(), healthPath);
     request.timeout = healthTimeout;
@@ -85,6 +89,8 @@
                {"endpoint", endpointId}});
     if (!endpointId.empty()) {
         this->onInService(endpointId);
+    } else if (isAnswered && response.head.status == httpOk) {
+        this->requestsLeft = 0; // it is leaving, or does not say which endpoint it is
     }
 }
 
--- a/src/mesh/endpointprobe.h
+++ b/src/mesh/endpointprobe.h
@@ -18,7 +18,7 @@
     EndpointProbe(const EndpointProbe &) = delete;
     EndpointProbe &operator=(const EndpointProbe &) = delete;
 
-    /// Asks until the endpoint needs no confirmation any more, or for a few seconds.
+    /// Asks a few times, until the endpoint needs no confirmation any more or states something else than that it is in service.
     void start();
 
 private:
@@ -31,6 +31,7 @@
     std::function<void(const std::string &)> onInService;
     net::EventLoop::TimerId timer = net::EventLoop::noTimer;
     int checksLeft = 0;
+    int requestsLeft = 0;
     bool isAsking = false;
 };
 } // namespace figpulley::mesh
