--- a/src/net/relayclient.cpp
+++ b/src/net/relayclient.cpp
@@ -153,6 +153,7 @@
     bool isReusable = true;
     bool isPeerClosed = false; // the peer has closed its side of the connection
     bool hasUnreadInput = false;
+    bool hasWriteFailed = false; // the connection failed before the request was sent completely
 };
 
 bool RelayClient::Connection::open(Duration ackTimeout)
@@ -198,6 +199,7 @@
     this->isPaused = false;
     this->isMoreNeeded = false;
     this->hasUnreadInput = false;
+    this->hasWriteFailed = false;
     this->body.clear();
     this->startParser();
     this->output = formatRequestHead(request, this->address, target) + request.body;
@@ -262,6 +264,7 @@
             return;
         }
         if (result != IoResult::Done) {
+            this->hasWriteFailed = true;
             this->finishDeferred(this->connectionErrorKind(), "the connection failed while the request was being sent");
             return;
         }
@@ -286,7 +289,8 @@
         }
         if (result == IoResult::Closed) {
             const bool isCloseDelimited = this->parser->is_header_done() && this->parser->need_eof();
-            if (isCloseDelimited && this->isCloseDelimitedAllowed && this->processHead()) {
+            // A reset that the failed write has reported is followed by a regular end.
+            if (isCloseDelimited && this->isCloseDelimitedAllowed && !this->hasWriteFailed && this->processHead()) {
                 this->isReusable = false;
                 this->finish(ErrorKind::None, {});
                 return;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -356,6 +356,34 @@
     }
 }
 
+// Guards against half of a response that ends with its connection and is taken for whole: the connection is reset while the request is
+// still being sent, and the failed write takes the error that the next read would have reported.
+Test(net, response_that_is_reset_during_an_upload_is_not_complete)
+{
+    tests::Story story;
+    net::LoopThread thread;
+    for (int round = 0; round < 5; ++round) {
+        tests::RawServer raw([](int, const std::string &) { return "!HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf"; });
+        raw.isResettingConnections = true;
+        std::promise<core::ErrorKind> ended;
+        std::unique_ptr<net::RelayClient> client;
+        thread.call([&] {
+            client = std::make_unique<net::RelayClient>(thread.loop());
+            net::ClientRequest request;
+            request.method = "POST";
+            request.url = "http://" + raw.address().toString() + "/";
+            request.body = std::string(16'000'000, 'x'); // more than the sockets hold
+            request.timeout = std::chrono::seconds(5);
+            request.mayBeCloseDelimited = true;
+            net::ClientCallbacks callbacks;
+            callbacks.onDone = [&ended](const net::ClientResult &result) { ended.set_value(result.kind); };
+            client->send(request, std::move(callbacks));
+        });
+        story.check(ended.get_future().get() != core::ErrorKind::None, "the response not to count as complete");
+        thread.call([&] { client.reset(); });
+    }
+}
+
 // Guards against a response that ends with its connection and is noticed only at the timeout, because its last bytes and the end of the
 // connection are reported together.
 Test(net, end_of_a_connection_is_noticed_together_with_its_last_bytes)
--- a/tests/support/rawserver.h
+++ b/tests/support/rawserver.h
@@ -60,6 +60,8 @@
 
     bool isClosingAfterPieces = false; ///< closes the connection after the pieces; must be set before the first request
 
+    bool isResettingConnections = false; ///< closes connections with a reset; must be set before the first request
+
     /// Bytes that follow each response without end, until the client closes the connection. Must be set before the first request.
     std::string endlessPiece;
 
@@ -77,6 +79,11 @@
             }
             const int connection = accept(this->listener, nullptr, nullptr);
             this->serve(connection);
+            if (this->isResettingConnections) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(50)); // the client reads the response first
+                const linger atOnce {1, 0};
+                setsockopt(connection, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+            }
             close(connection);
         }
     }
