--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -136,6 +136,7 @@
     std::shared_ptr<Exchange> exchange;
     std::shared_ptr<BodyPipe> pipe;
     core::TimePoint lastProgress; // time when bytes were last read or written
+    core::TimePoint requestBeganAt {}; // time when the first bytes of the current request were read
     std::size_t bufferedBytes = 0; // size of the body of the current request
     bool isChunked = false;
     bool isBodyQueued = false; // the output contains the end of the response body
@@ -269,6 +270,7 @@
     this->lastProgress = core::steadyNow();
     this->input.append(bytes);
     if (!this->parser->got_some()) {
+        this->requestBeganAt = this->lastProgress;
         // The limits may have changed since the previous request.
         this->parser->header_limit(static_cast<std::uint32_t>(this->server.limits.headerBytes));
         this->parser->body_limit(this->server.limits.bodyBytes);
@@ -530,7 +532,10 @@
     const auto age = now - this->lastProgress;
     switch (this->state) {
     case State::Reading:
-        return age > (this->parser->got_some() ? this->server.limits.headerTimeout : this->server.limits.idleTimeout);
+        if (!this->parser->got_some()) {
+            return age > this->server.limits.idleTimeout;
+        }
+        return (this->parser->is_header_done() ? age : now - this->requestBeganAt) > this->server.limits.headerTimeout;
     case State::Lingering:
         return age > lingerTimeout;
     case State::Writing:
--- a/src/net/relayserver.h
+++ b/src/net/relayserver.h
@@ -14,7 +14,7 @@
 {
     std::size_t headerBytes = 32UL * 1024UL;
     std::size_t bodyBytes = 64UL << 20U;
-    core::Duration headerTimeout = std::chrono::seconds(10); ///< maximum time without new bytes of a request that has begun
+    core::Duration headerTimeout = std::chrono::seconds(10); ///< maximum time for the head of a request, and without new bytes of its body
     core::Duration idleTimeout =
         std::chrono::seconds(75); ///< maximum time between two requests, or without progress while a response is written
     std::size_t maxBufferedBodyBytes = 48UL << 20U; ///< maximum total size of the bodies of all requests whose response is not yet written
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -384,6 +384,37 @@
     }
 }
 
+// Guards against a client that holds a connection for as long as it likes by sending its head byte by byte.
+Test(net, head_that_takes_too_long_ends_its_connection)
+{
+    tests::Story story;
+    net::LoopThread thread;
+    std::unique_ptr<net::RelayServer> server;
+    thread.call([&] {
+        server = std::make_unique<net::RelayServer>(
+            thread.loop(), net::Address {"127.0.0.1", 0},
+            [](const std::shared_ptr<net::HttpExchange> &exchange) {
+                exchange->respond({200, {}, "ok"});
+            },
+            net::RelayServerLimits {.headerTimeout = std::chrono::milliseconds(500)});
+    });
+    const auto address = thread.call([&] { return server->address(); });
+    const auto drip = [](const std::string &bytes) {
+        std::vector<std::string> pieces;
+        for (const auto byte : bytes) {
+            pieces.emplace_back(1, byte);
+        }
+        return pieces;
+    };
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\n";
+    story.equal(tests::exchangeRaw(address, drip(head + std::string(80, 'x') + ": y\r\n\r\n")), std::string(),
+                "no response to a head that takes 2 s");
+    auto pieces = drip(std::string(60, 'x'));
+    pieces.front() = head + "Content-Length: 60\r\n\r\nx";
+    story.check(tests::exchangeRaw(address, pieces).starts_with("HTTP/1.1 200"), "a body that goes on to be taken, however long it takes");
+    thread.call([&] { server.reset(); });
+}
+
 // Guards against a response that ends with its connection and is noticed only at the timeout, because its last bytes and the end of the
 // connection are reported together.
 Test(net, end_of_a_connection_is_noticed_together_with_its_last_bytes)
