--- a/src/mesh/controlserver.cpp
+++ b/src/mesh/controlserver.cpp
@@ -16,6 +16,9 @@
 constexpr int httpNotFound = 404;
 constexpr int httpServiceUnavailable = 503;
 
+// The calls of the endpoint and of the platform are small, and few of them come at a time.
+constexpr net::HttpServerLimits controlLimits {.connections = 256, .bodyBytes = 64UL * 1024UL};
+
 net::HttpResponse emptyResponse(int status)
 {
     return {status, {{"Content-Type", "application/json"}}, "{}"};
@@ -28,11 +31,11 @@
     , isReady(std::move(isReady))
 {
     const auto serve = [this](const std::shared_ptr<net::HttpExchange> &exchange) { this->accept(exchange); };
-    this->control = std::make_unique<net::HttpServer>(context.loop, context.settings.control, serve);
-    this->readiness = std::make_unique<net::HttpServer>(context.loop, context.settings.readiness, serve);
+    this->control = std::make_unique<net::HttpServer>(context.loop, context.settings.control, serve, controlLimits);
+    this->readiness = std::make_unique<net::HttpServer>(context.loop, context.settings.readiness, serve, controlLimits);
     this->metrics = std::make_unique<net::HttpServer>(
         context.loop, context.settings.metrics,
-        [this](const std::shared_ptr<net::HttpExchange> &exchange) { this->acceptMetricsRequest(exchange); });
+        [this](const std::shared_ptr<net::HttpExchange> &exchange) { this->acceptMetricsRequest(exchange); }, controlLimits);
 }
 
 ControlServer::~ControlServer() = default;
--- a/tests/faulty_writer_test.cpp
+++ b/tests/faulty_writer_test.cpp
@@ -237,8 +237,9 @@
     bed.addReady({"m1"}, "motivi");
     bed.add("c1", "commesse");
     bed.waitForReadyEndpoints("c1", 1);
-    const auto checkServed = [&](int sequence) {
-        story.equal(bed.heartbeat("m1", sequence), 200, "the endpoint's next heartbeat to be acknowledged");
+    int sequence = 1;
+    const auto checkServed = [&] {
+        story.equal(bed.heartbeat("m1", ++sequence), 200, "the endpoint's next heartbeat to be acknowledged");
         story.equal(bed.onLoop([&] { return bed.node("m1").board().local.read().record()->id; }), std::string("i-m1"),
                     "the record to be the endpoint's");
         story.equal(bed.request("c1", "/look/1").head.status, 200, "its requests to be served");
@@ -252,19 +253,24 @@
         body.replace(body.find(from), from.size(), to);
         return body;
     };
+    story.section("a heartbeat without end", [&] {
+        const auto endless = altered(R"("Version":"v1")", R"("Version":")" + std::string(100'000, 'v') + '"');
+        story.equal(call("/v1/Instances.Heartbeat/x-0", endless), 413, "it to be refused");
+        checkServed();
+    });
     story.section("an incomplete heartbeat of a later start", [&] {
         story.equal(call("/v1/Instances.Heartbeat/x-1", altered(R"("Zone":"mineo","Version":"v1",)", "")), 400, "it to be refused");
-        checkServed(2);
+        checkServed();
     });
     story.section("a heartbeat that names another address", [&] {
         story.equal(call("/v1/Instances.Heartbeat/x-2", altered(bed.upstreamOf("m1").toString(), "127.0.0.1:9")), 400, "it to be refused");
-        checkServed(3);
+        checkServed();
     });
     story.section("a departure of an endpoint that is not this VM's", [&] {
         static_cast<void>(call("/v1/Instances.Deregister/x-3", ""));
         static_cast<void>(call("/v1/Instances.Deregister/x-3", R"({"born":800})"));
         story.equal(call("/v1/Instances.Deregister/i-m1", R"({"born":"x"})"), 400, "one that cannot be read to be refused");
-        checkServed(4);
+        checkServed();
     });
     story.section("a departure of another endpoint at a node that has just started", [&] {
         bed.kill("m1");
@@ -272,13 +278,13 @@
         bed.start("m1");
         static_cast<void>(call("/v1/Instances.Deregister/x-4", ""));
         bed.onLoop([&] { return bed.store->fault = tests::MetadataStore::Fault::None; });
-        bed.heartbeat("m1", 5);
-        bed.heartbeat("m1", 6);
+        bed.heartbeat("m1", ++sequence);
+        bed.heartbeat("m1", ++sequence);
         bed.waitUntil([&] {
             const auto &board = bed.node("m1").board();
             return board.config.read().table != nullptr && board.local.read().acceptsRequests();
         });
-        checkServed(7);
+        checkServed();
     });
 }
 
