--- a/src/net/bodypipe.cpp
+++ b/src/net/bodypipe.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <cstring>
 
 namespace figpulley::net
 {
@@ -50,7 +49,7 @@
     while (copied < size && !this->blocks.empty()) {
         const auto &block = this->blocks.front();
         const auto taken = std::min(size - copied, block.size() - this->offset);
-        std::memcpy(target + copied, block.data() + this->offset, taken);
+        std::copy_n(block.data() + this->offset, taken, target + copied);
         copied += taken;
         this->offset += taken;
         if (this->offset == block.size()) {
