--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -157,6 +157,7 @@
 {
     this->thread.call([&] {
         vm.isDraining = false;
+        vm.isSilent = false;
         vm.isStatingDeparture = false;
         vm.drainAcknowledgedAt = {};
         vm.incarnation += 1000;
@@ -205,6 +206,10 @@
     if (this->isStopping) {
         return;
     }
+    if (vm.isSilent) {
+        this->thread.loop().callAfter(500ms, [this, &vm] { this->sendHeartbeat(vm); });
+        return;
+    }
     net::ClientRequest request;
     request.method = "POST";
     request.url = fmt::format("http://{}/v1/Instances.Heartbeat/i-{}", vm.control.toString(), vm.name);
@@ -389,7 +394,7 @@
     auto &vm = this->randomVm();
     const auto linkFault = static_cast<LinkFault>(this->randomInt(1, 4));
     const auto endpointFault = static_cast<LinkFault>(this->randomInt(1, 6));
-    switch (this->randomInt(0, 10)) {
+    switch (this->randomInt(0, 12)) {
     case 0:
         this->recordEvent("kill " + vm.name);
         this->stopProcess(vm, SIGKILL);
@@ -437,6 +442,12 @@
     case 9:
         this->writeOddObject(vm);
         break;
+    case 10:
+        this->sendOddHeartbeat(vm);
+        break;
+    case 11:
+        this->departWithoutDraining(vm);
+        break;
     case 7:
         this->recordEvent("departure stated by " + vm.name);
         this->thread.call([&] { vm.isStatingDeparture = true; });
@@ -478,6 +489,61 @@
     }
 }
 
+// Sends a heartbeat of another writer, of a later start than the endpoint's.
+void SoakRun::sendOddHeartbeat(const Vm &vm)
+{
+    const std::vector<std::string> fields {R"("Zone":"mineo")", R"("Zone":7)", R"("Zone":"mineo","Version":"v","ColdRemainingS":"x")",
+                                           R"("Zone":"mineo","Version":"v","ColdRemainingS":1e9)"};
+    const auto &odd = fields[static_cast<std::size_t>(this->randomInt(0, static_cast<int>(fields.size()) - 1))];
+    this->recordEvent(fmt::format("odd heartbeat {} at {}", odd, vm.name));
+    net::ClientRequest request;
+    request.method = "POST";
+    request.url = fmt::format("http://{}/v1/Instances.Heartbeat/odd", vm.control.toString());
+    request.timeout = 1s;
+    request.body = fmt::format(R"({{"Service":"{}","Address":"{}","Slots":16,"State":"ready","Seq":1,"born":900000,{}}})", vm.service,
+                               vm.endpointLink->address().toString(), odd);
+    this->thread.call([&] { this->client->fetch(request, 4096, [](const net::ClientResponse &) {}); });
+}
+
+// Deregisters an endpoint that serves on without heartbeats, perhaps while the store is down, and may restart its node.
+void SoakRun::departWithoutDraining(Vm &vm)
+{
+    const bool isStoreDown = this->randomInt(0, 1) == 0;
+    this->recordEvent(fmt::format("{} deregisters, store {}", vm.name, isStoreDown ? "down" : "as it is"));
+    this->thread.call([&] {
+        vm.isSilent = true;
+        if (isStoreDown) {
+            this->store->fault = tests::MetadataStore::Fault::Busy;
+        }
+    });
+    this->sleepMs(100);
+    net::ClientRequest request;
+    request.method = "POST";
+    request.url = fmt::format("http://{}/v1/Instances.Deregister/i-{}", vm.control.toString(), vm.name);
+    request.timeout = 1s;
+    this->thread.call([&] {
+        request.body = fmt::format(R"({{"born":{}}})", vm.incarnation);
+        this->client->fetch(request, 4096, [&vm, incarnation = vm.incarnation](const net::ClientResponse &answer) {
+            const bool isAcknowledged = answer.result.kind == core::ErrorKind::None && answer.head.status == 200;
+            if (isAcknowledged && incarnation == vm.incarnation) {
+                vm.drainAcknowledgedAt = core::steadyNow();
+            }
+        });
+    });
+    this->sleepMs(this->randomInt(700, 1100));
+    if (this->randomInt(0, 1) == 0) {
+        const int signal = this->randomInt(0, 1) == 0 ? SIGKILL : SIGTERM;
+        this->recordEvent(fmt::format("signal {} to {}", signal, vm.name));
+        this->stopProcess(vm, signal);
+        this->waitForExit(vm);
+        this->startProcess(vm);
+    }
+    this->sleepMs(this->randomInt(200, 1500));
+    this->thread.call([&] { this->store->fault = tests::MetadataStore::Fault::None; });
+    this->sleepMs(this->randomInt(500, 4000));
+    this->startNextIncarnation(vm);
+}
+
 // Restores the store from a copy made before an endpoint drains and the configuration changes, with or without an outage that nodes
 // notice. The operator writes the configuration again some time later; the draining endpoint's node may be killed at any point.
 void SoakRun::restoreStore()
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -60,6 +60,7 @@
         int sequence = 0;
         std::int64_t incarnation = 1000;
         bool isDraining = false;
+        bool isSilent = false; ///< whether the endpoint sends no heartbeats
         core::TimePoint drainAcknowledgedAt {}; ///< when the node acknowledged the heartbeat that reports draining
         std::optional<double> rateLimit; ///< limit that the endpoint states, in requests per second
         bool isStatingDeparture = false; ///< whether the responses state that the endpoint is leaving
@@ -82,6 +83,8 @@
     void injectFault();
     void restoreStore();
     void writeOddObject(const Vm &vm);
+    void sendOddHeartbeat(const Vm &vm);
+    void departWithoutDraining(Vm &vm);
     void checkRecords();
     void checkRecovery();
     void checkMemory();
