--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -7,6 +7,7 @@
 #include "mesh/updaters.h"
 
 #include <algorithm>
+#include <atomic>
 #include <fstream>
 #include <sstream>
 
@@ -151,6 +152,66 @@
     story.check(core::steadyNow() - sent < timeout + std::chrono::milliseconds(500), "its end within half a second of the route's timeout");
 }
 
+// Guards against a restarted node that leaves its endpoint without requests until its heartbeats, and against one that believes a health
+// check of another endpoint or of one that is leaving.
+Test(mesh, health_check_confirms_the_endpoint_of_a_restarted_node)
+{
+    tests::Story story;
+    tests::MeshTestbed bed;
+    std::string routes = tests::MeshTestbed::routes;
+    const std::string noServices = R"("Services":[])";
+    routes.replace(routes.find(noServices), noServices.size(), R"("Services":[{"Name":"motivi","HealthPath":"/health"}])");
+    bed.publish(routes);
+    std::atomic<int> healthChecks = 0;
+    net::Headers statements;
+    bed.add("m1", "motivi", [&](const std::shared_ptr<net::HttpExchange> &exchange) {
+        if (exchange->request().path == "/health") {
+            ++healthChecks;
+            exchange->respond({200, statements, {}});
+        } else {
+            tests::MeshTestbed::respondOk(exchange);
+        }
+    });
+    bed.heartbeat("m1", 1);
+    bed.waitUntil([&] { return bed.node("m1").board().local.read().acceptsRequests(); });
+    story.equal(healthChecks.load(), 0, "no health check of an endpoint that only this process has known");
+    const auto restart = [&](const net::Headers &headers) {
+        bed.kill("m1");
+        bed.onLoop([&] {
+            statements = headers;
+            healthChecks = 0;
+            return true;
+        });
+        bed.start("m1");
+        bed.waitUntil([&] { return healthChecks > 0; });
+    };
+    const net::Header own {std::string(platform::names::instanceId), "i-m1"};
+    const auto checkClosed = [&] {
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        story.check(!bed.onLoop([&] { return bed.node("m1").board().local.read().acceptsRequests(); }), "the gate to stay closed");
+        story.equal(healthChecks.load(), 1, "no further health check after a clear answer");
+    };
+    story.section("another endpoint answers", [&] {
+        restart({{own.name, "i-other"}});
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        story.check(!bed.onLoop([&] { return bed.node("m1").board().local.read().acceptsRequests(); }), "the gate to stay closed");
+        story.check(healthChecks <= 3, "a few health checks at most");
+    });
+    story.section("the endpoint is leaving", [&] {
+        restart({own, {std::string(platform::names::leaving), std::string(platform::names::leavingValue)}});
+        checkClosed();
+    });
+    story.section("the answer names no endpoint", [&] {
+        restart({});
+        checkClosed();
+    });
+    story.section("the endpoint is in service", [&] {
+        restart({own});
+        bed.waitUntil([&] { return bed.node("m1").board().local.read().acceptsRequests(); });
+        story.equal(bed.request("m1", "/look/1").head.status, 200, "requests to be served without a heartbeat");
+    });
+}
+
 // Guards against an endpoint that receives more requests than the limit that it states, summed over all nodes (incident 0001).
 Test(mesh, endpoint_with_a_rate_limit_gets_no_more_requests_from_all_nodes)
 {
