--- a/review/standin-2/standin.cpp
+++ b/review/standin-2/standin.cpp
@@ -700,7 +700,7 @@
 
 void Endpoint::start(bool isBeatingNow)
 {
-    this->born = unixMs();
+    this->born = unixMs() + this->clockOffsetMs;
     this->sequence = 0;
     this->isLeaving = false;
     this->server = std::make_unique<Server>(this->machine.app, [this](const Request &request) { return this->handle(request); });
@@ -777,6 +777,11 @@
     this->workMs = milliseconds;
 }
 
+void Endpoint::stepClock(std::int64_t milliseconds)
+{
+    this->clockOffsetMs += milliseconds;
+}
+
 void Endpoint::setLeaving(bool isOn)
 {
     this->isLeaving = isOn;
--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -209,6 +209,8 @@
     [[nodiscard]] std::int64_t lifetime() const;
     void setBeating(bool isOn);
     void setWorkMs(std::int64_t milliseconds);
+    /// Steps the time of day that the endpoint reads at its next start.
+    void stepClock(std::int64_t milliseconds);
     void setLeaving(bool isOn);
     /// Replaces how requests are answered; nullptr for the usual way.
     void setHandler(std::function<Reply(const Request &)> replaced);
@@ -223,6 +225,7 @@
     std::vector<Run> allRuns;
     std::function<Reply(const Request &)> special;
     std::atomic<std::int64_t> born {0};
+    std::atomic<std::int64_t> clockOffsetMs {0};
     std::atomic<std::int64_t> sequence {0};
     std::atomic<std::int64_t> workMs {20};
     std::atomic<bool> isBeating {false};
