--- a/review/standin-2/standin.cpp
+++ b/review/standin-2/standin.cpp
@@ -28,6 +28,31 @@
 const Clock::time_point caseStart = Clock::now();
 std::ofstream recordFile;
 std::mutex recordMutex;
+std::mutex startedMutex;
+std::vector<pid_t> started; // processes that have not been waited for
+
+// Ends the processes that a case has left, also if it stops early.
+void killStarted()
+{
+    const std::lock_guard lock(startedMutex);
+    for (const auto pid : started) {
+        ::kill(pid, SIGKILL);
+    }
+}
+
+void registerStarted(pid_t pid)
+{
+    static const int isRegistered = std::atexit(&killStarted);
+    static_cast<void>(isRegistered);
+    const std::lock_guard lock(startedMutex);
+    started.push_back(pid);
+}
+
+void forgetStarted(pid_t pid)
+{
+    const std::lock_guard lock(startedMutex);
+    std::erase(started, pid);
+}
 
 std::string lower(std::string text)
 {
@@ -622,6 +647,7 @@
         std::exit(notRun);
     }
     posix_spawn_file_actions_destroy(&actions);
+    registerStarted(this->pid);
 }
 
 void Node::signal(int number) const
@@ -634,8 +660,8 @@
 void Node::kill()
 {
     if (this->pid > 0) {
+        forgetStarted(this->pid);
         ::kill(this->pid, SIGKILL);
-        ::kill(this->pid, SIGCONT);
         waitpid(this->pid, nullptr, 0);
         this->pid = -1;
     }
@@ -644,6 +670,7 @@
 bool Node::isRunning()
 {
     if (this->pid > 0 && waitpid(this->pid, nullptr, WNOHANG) == this->pid) {
+        forgetStarted(this->pid);
         this->pid = -1;
     }
     return this->pid > 0;
