Answer a node that catches up with one text of the latest changes

Cause: ChangeRelay sent every logged change after the asker's revision, 62 versions of one 614 KB object, although only the last of each object matters. Each answer was built as a JSON document, then as its text, and copied once more into the output of its connection, for each asker anew and without a limit. The asker threw an answer above 16 MB away and asked the next node the same.

Change: the log returns each object once, with its latest change. An answer is encoded object by object, and its one text is shared by all connections that send it (HttpResponse::sharedBody). AnswerPool counts the bytes of these texts until they are written; while they exceed eight of the largest objects, further queries wait. A connection that takes no byte of an answer for 2 s is closed, as its sender has given up. figpulley_peer_answer_bytes and changes.deferred show the state.

--- a/src/mesh/changerelay.cpp
+++ b/src/mesh/changerelay.cpp
@@ -1,10 +1,15 @@
 #include "mesh/changerelay.h"
 
 #include "core/json.h"
+#include "core/log.h"
+#include "core/logsampler.h"
 #include "text/fieldlist.h"
 
 #include <chrono>
+#include <numeric>
+#include <utility>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace figpulley::mesh
@@ -23,11 +28,26 @@
 constexpr const char *historyGoneKey = "history_gone";
 constexpr const char *eraKey = "era";
 
+// The sender of a query gives up before that. A node that stands still must not keep its answer until the connection is idle for long.
+constexpr core::Duration answerStallTimeout = 2s;
+
 net::HttpResponse itemsResponse(const store::CollectionItems &items)
 {
     return {httpOk, {{"Content-Type", "application/json"}}, encode(items)};
 }
 
+net::HttpResponse sharedResponse(std::shared_ptr<const std::string> text)
+{
+    return {httpOk, {{"Content-Type", "application/json"}}, {}, std::move(text), answerStallTimeout};
+}
+
+// Encodes one object. Only its own content is copied, not that of the objects beside it.
+std::string encode(const store::CollectionItem &item)
+{
+    return nlohmann::json {{"name", item.name}, {"revision", item.revision}, {"content", item.content}, {"deleted", item.isDeleted}}.dump(
+        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 net::HttpResponse unavailableResponse()
 {
     return {httpServiceUnavailable, {}, {}};
@@ -39,6 +59,18 @@
     return query.revision != 0 && query.era != 0 && query.era != log.era();
 }
 
+// Whether a log holds all changes after a query's revision.
+bool hasHistory(const ChangeQuery &query, const store::ChangeLog &log)
+{
+    return !isOfOtherEra(query, log) && log.covers(query.revision);
+}
+
+// Whether the sender of a query has all that a log holds.
+bool isUpToDate(const ChangeQuery &query, const store::ChangeLog &log)
+{
+    return query.revision != 0 && hasHistory(query, log) && log.firstChangeAfter(query.revision) == 0;
+}
+
 store::CollectionItems changesSince(const store::ChangeLog &log, const ChangeQuery &query)
 {
     store::CollectionItems items;
@@ -56,6 +88,16 @@
     }
     return items;
 }
+
+// Answer to a query that finds no changes, or no history of them.
+net::HttpResponse emptyResponse(const store::ChangeLog &log, ErrorKind kind)
+{
+    store::CollectionItems items;
+    items.kind = kind;
+    items.revision = log.revision();
+    items.era = log.era();
+    return itemsResponse(items);
+}
 } // namespace
 
 std::string encode(const ChangeQuery &query)
@@ -83,28 +125,31 @@
 
 std::string encode(const store::CollectionItems &items)
 {
-    auto list = nlohmann::json::array();
+    const auto contentBytes = std::accumulate(items.items.begin(), items.items.end(), std::size_t {},
+                                              [](std::size_t sum, const auto &item) { return sum + item.content.size(); });
+    std::string text;
+    text.reserve(contentBytes + contentBytes / 4); // JSON in a JSON string: quotes are escaped
+    text += fmt::format(R"({{"revision":{},"{}":{},"{}":{},"items":[)", items.revision, eraKey, items.era, historyGoneKey,
+                        items.kind == ErrorKind::HistoryGone);
     for (const auto &item : items.items) {
-        list.push_back({{"name", item.name}, {"revision", item.revision}, {"content", item.content}, {"deleted", item.isDeleted}});
+        text += &item == &items.items.front() ? "" : ",";
+        text += encode(item);
     }
-    return nlohmann::json {{"revision", items.revision},
-                           {eraKey, items.era},
-                           {historyGoneKey, items.kind == ErrorKind::HistoryGone},
-                           {"items", std::move(list)}}
-        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    text += "]}";
+    return text;
 }
 
 store::CollectionItems decodeItems(std::string_view text)
 {
     store::CollectionItems items;
     try {
-        const auto object = core::parseJson(text);
+        auto object = core::parseJson(text);
         items.revision = core::countOf(object.at("revision"));
         items.era = object.contains(eraKey) ? core::countOf(object[eraKey]) : 0;
         items.kind = object.at(historyGoneKey).get<bool>() ? ErrorKind::HistoryGone : ErrorKind::None;
-        for (const auto &entry : object.at("items")) {
+        for (auto &entry : object.at("items")) {
             items.items.push_back({entry.at("name").get<std::string>(), core::countOf(entry.at("revision")),
-                                   entry.at("content").get<std::string>(), entry.at("deleted").get<bool>()});
+                                   std::move(entry.at("content").get_ref<std::string &>()), entry.at("deleted").get<bool>()});
         }
     } catch (const nlohmann::json::exception &) {
         // The caller logs the failure of the peer and queries the store instead.
@@ -116,10 +161,23 @@
 ChangeRelay::ChangeRelay(MeshContext context)
     : context(context)
 {
+    // The text is released while its connection is in use, so the waiting queries are answered later.
+    context.answers.setOnRoom([this] {
+        if (std::exchange(this->isAnsweringPosted, true)) {
+            return;
+        }
+        this->context.loop.post([this, token = std::weak_ptr<bool>(this->lifetimeToken)] {
+            if (!token.expired()) {
+                this->isAnsweringPosted = false;
+                this->answerAll();
+            }
+        });
+    });
 }
 
 ChangeRelay::~ChangeRelay()
 {
+    this->context.answers.setOnRoom(nullptr);
     for (auto &[collection, state] : this->collections) {
         for (const auto &waiter : state.waiters) {
             this->context.loop.cancel(waiter.timer);
@@ -141,18 +199,74 @@
     return waiter;
 }
 
+// Returns the text of an answer with objects, or null if the pool is full.
+std::shared_ptr<const std::string> ChangeRelay::textOf(CollectionState &state, const ChangeQuery &query, std::uint64_t firstChange)
+{
+    const AnswerKey key {state.log.era(), state.log.revision(), firstChange};
+    if (auto text = state.latestText.lock(); text && state.latestKey == key) {
+        return text;
+    }
+    if (this->context.answers.isFull()) {
+        return nullptr;
+    }
+    auto text = this->context.answers.add(encode(changesSince(state.log, query)));
+    state.latestKey = key;
+    state.latestText = text;
+    return text;
+}
+
+// Returns the answer to a query, or nothing if the pool is full.
+std::optional<net::HttpResponse> ChangeRelay::answer(CollectionState &state, const ChangeQuery &query)
+{
+    const auto &log = state.log;
+    if (isUpToDate(query, log)) {
+        return emptyResponse(log, ErrorKind::None);
+    }
+    if (query.revision != 0 && !hasHistory(query, log)) {
+        return emptyResponse(log, ErrorKind::HistoryGone);
+    }
+    const auto firstChange = query.revision == 0 ? 0 : log.firstChangeAfter(query.revision);
+    if (auto text = this->textOf(state, query, firstChange)) {
+        return sharedResponse(std::move(text));
+    }
+    if (const auto omittedLines = this->context.sampler.tryAcquire("changes.deferred", core::steadyNow())) {
+        core::log(core::LogLevel::Warning, "changes.deferred",
+                  {{"collection", query.collection},
+                   {"revision", fmt::to_string(query.revision)},
+                   {"answer_bytes", fmt::to_string(this->context.answers.bytes())},
+                   {"waiting", fmt::to_string(state.waiters.size())},
+                   {"left_out", fmt::to_string(*omittedLines)}});
+    }
+    return std::nullopt;
+}
+
 void ChangeRelay::answerWaiters(const std::string &collection)
 {
     auto &state = this->collections[collection];
+    if (!this->isListed(state)) {
+        return;
+    }
+    std::shared_ptr<const std::string> text; // keeps the text between two waiters, of which the first may have read it at once
     for (auto at = state.waiters.begin(); at != state.waiters.end();) {
         const auto position = at++;
-        const auto items = changesSince(state.log, position->query);
-        if (items.kind != ErrorKind::None || !items.items.empty()) {
-            this->removeWaiter(state, position).exchange->respond(itemsResponse(items));
+        const auto &query = position->query;
+        if (isUpToDate(query, state.log)) {
+            continue;
+        }
+        if (auto response = this->answer(state, query)) {
+            text = response->sharedBody ? response->sharedBody : text;
+            this->removeWaiter(state, position).exchange->respond(std::move(*response));
         }
     }
 }
 
+void ChangeRelay::answerAll()
+{
+    for (const auto &[collection, state] : this->collections) {
+        this->answerWaiters(collection);
+    }
+}
+
 void ChangeRelay::setUpToDate(const std::string &collection, bool isUpToDate)
 {
     auto &state = this->collections[collection];
@@ -202,10 +316,12 @@
         this->addWaiter(state, *query, exchange);
         return;
     }
-    const auto items = changesSince(state.log, *query);
-    if (query->revision == 0 || items.kind != ErrorKind::None || !items.items.empty()) {
-        exchange->respond(itemsResponse(items));
-        return;
+    if (!isUpToDate(*query, state.log)) {
+        if (auto response = this->answer(state, *query)) {
+            exchange->respond(std::move(*response));
+            return;
+        }
+        query->wait = std::max(query->wait, maxListTime);
     }
     this->addWaiter(state, *query, exchange);
 }
@@ -222,11 +338,12 @@
     position->timer = this->context.loop.callAfter(delay, [this, &state, position] {
         position->timer = net::EventLoop::noTimer;
         const auto waiter = this->removeWaiter(state, position);
-        if (this->isListed(state)) {
-            waiter.exchange->respond(itemsResponse(changesSince(state.log, waiter.query)));
+        const bool isKnown = this->isListed(state);
+        if (auto response = isKnown ? this->answer(state, waiter.query) : std::nullopt) {
+            waiter.exchange->respond(std::move(*response));
             return;
         }
-        if (waiter.query.revision == 0) {
+        if (isKnown || waiter.query.revision == 0) {
             waiter.exchange->respond(unavailableResponse());
             return;
         }
--- a/src/mesh/changerelay.h
+++ b/src/mesh/changerelay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mesh/answerpool.h"
 #include "mesh/meshcontext.h"
 #include "net/httpexchange.h"
 #include "store/changelog.h"
@@ -8,7 +9,9 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace figpulley::mesh
 {
@@ -36,7 +39,8 @@
 
 /// Serves the changes that this node reads from the store, or learns from another node, to nodes of its zone. It refuses queries while it
 /// learns of no changes itself; the sender then queries another node or the store. A query with a revision of an earlier era is answered
-/// as if the history was gone, once the collection was listed in the current era.
+/// as if the history was gone, once the collection was listed in the current era. Nodes that ask for the same get one text, and while the
+/// texts that are being written fill the pool of answers, further queries wait.
 class ChangeRelay
 {
 public:
@@ -48,8 +52,8 @@
     /// Returns the change log of a collection; creates it on first use.
     [[nodiscard]] store::ChangeLog &changeLog(const std::string &collection);
 
-    /// Answers the waiting queries for which the log has changes. Must be called after all changes
-    /// up to the log's revision have been added to it.
+    /// Answers the waiting queries for which the log has changes, as far as the pool of answers has room. Must be called after all
+    /// changes up to the log's revision have been added to it.
     void answerWaiters(const std::string &collection);
 
     /// Sets whether the log of a collection is kept up to date, by reads from the store or through another node. Refuses the waiting
@@ -76,10 +80,22 @@
         net::EventLoop::TimerId timer = net::EventLoop::noTimer;
     };
 
+    // What an answer with objects depends on.
+    struct AnswerKey
+    {
+        std::uint64_t era = 0;
+        std::uint64_t revision = 0; // revision of the log
+        std::uint64_t firstChange = 0; // revision of the first change in the answer; 0 for a list of all objects
+
+        [[nodiscard]] bool operator==(const AnswerKey &) const = default;
+    };
+
     struct CollectionState
     {
         store::ChangeLog log;
         std::list<Waiter> waiters;
+        AnswerKey latestKey;
+        std::weak_ptr<const std::string> latestText; // text of the latest answer, as long as a connection writes it
         bool isUpToDate = true; // before the first read, queries wait for it
     };
 
@@ -87,12 +103,17 @@
 
     // Whether the log holds a complete list of the current era of the store.
     [[nodiscard]] bool isListed(const CollectionState &state) const;
+    [[nodiscard]] std::shared_ptr<const std::string> textOf(CollectionState &state, const ChangeQuery &query, std::uint64_t firstChange);
+    [[nodiscard]] std::optional<net::HttpResponse> answer(CollectionState &state, const ChangeQuery &query);
+    void answerAll();
     void addWaiter(CollectionState &state, ChangeQuery query, const std::shared_ptr<net::HttpExchange> &exchange);
     void refuseWaiters(CollectionState &state);
     Waiter removeWaiter(CollectionState &state, WaiterPosition position);
 
     MeshContext context;
     std::map<std::string, CollectionState> collections;
+    std::shared_ptr<bool> lifetimeToken = std::make_shared<bool>(true); // expires with this object; a posted callback may run later
+    bool isAnsweringPosted = false;
     bool isClosed = false;
 };
 } // namespace figpulley::mesh
--- a/src/mesh/fwd.h
+++ b/src/mesh/fwd.h
@@ -3,6 +3,7 @@
 /// Forward declarations of a node that finds its peers through the object store.
 namespace figpulley::mesh
 {
+class AnswerPool;
 class ChangeRelay;
 class CollectionFollower;
 class ConditionUpdater;
--- a/src/mesh/meshcontext.h
+++ b/src/mesh/meshcontext.h
@@ -25,6 +25,7 @@
     MeshBoard &board;
     core::Random &random;
     node::NodeMetrics &metrics;
+    AnswerPool &answers; ///< texts of responses to other nodes
     core::LogSampler &sampler; ///< limits log lines about idempotent requests; lines about other requests are always written
 };
 } // namespace figpulley::mesh
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -5,6 +5,7 @@
 #include "discovery/watchers.h"
 #include "mesh/conditionheader.h"
 #include "mesh/wireformat.h"
+#include "store/objectstore.h"
 
 #include <algorithm>
 #include <chrono>
@@ -33,6 +34,8 @@
 constexpr core::Duration maxWatchTimeout = 30s; // limit of the store
 constexpr core::Duration watchTimeoutPerNode = 250ms; // at most four watches per second and zone
 constexpr double watchJitter = 0.2; // spreads the watches of nodes that start together
+// Texts of responses to other nodes: eight of the largest objects, a tenth of the smallest process with the copies of the next one.
+constexpr std::size_t maxAnswerBytes = 8 * store::maxValueBytes;
 constexpr double sampledLinesPerSecond = 10; // for each kind of refusal; about 3 KB/s
 constexpr double sampledLinesBurst = 30;
 
@@ -52,6 +55,7 @@
     , sampler(sampledLinesPerSecond, sampledLinesBurst)
     , eraCheckedStore(store)
     , relay(loop)
+    , answers(maxAnswerBytes)
     , context {loop,
                client,
                this->relay,
@@ -62,6 +66,7 @@
                this->boardSections,
                this->random,
                this->metrics,
+               this->answers,
                this->sampler}
     , configUpdater(this->boardSections, wire, [this](const routing::RouteSet &routes) { this->outbound->setClientLimits(routes.limits); })
     , directoryUpdater(this->boardSections)
@@ -268,6 +273,7 @@
     this->metrics.setGauge("figpulley_slots_taken", load.running);
     this->metrics.setGauge("figpulley_requests_waiting", load.waiting);
     this->metrics.setGauge("figpulley_endpoint_limit_per_second", rateLimit.value_or(std::numeric_limits<double>::infinity()));
+    this->metrics.setGauge("figpulley_peer_answer_bytes", static_cast<double>(this->answers.bytes()));
     core::log(core::LogLevel::Info, "node.load",
               {{"busy", fmt::format("{:.2f}", busyFraction)},
                {"in_flight", fmt::to_string(this->outbound->inFlight())},
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mesh/answerpool.h"
 #include "mesh/changerelay.h"
 #include "mesh/collectionfollower.h"
 #include "mesh/controlserver.h"
@@ -71,6 +72,7 @@
     core::LogSampler sampler;
     store::EraCheckedStore eraCheckedStore;
     net::RelayClient relay;
+    AnswerPool answers;
     MeshContext context;
     ConfigUpdater configUpdater;
     DirectoryUpdater directoryUpdater;
--- a/src/net/httpexchange.h
+++ b/src/net/httpexchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/time.h"
 #include "net/bodypipe.h"
 #include "net/header.h"
 
@@ -27,6 +28,8 @@
     int status = 200;
     Headers headers;
     std::string body;
+    std::shared_ptr<const std::string> sharedBody {}; ///< sent in place of `body`, without a copy for each connection
+    core::Duration stallTimeout {}; ///< RelayServer closes the connection if no byte can be written for this long; 0 for its idle timeout
 };
 
 /// One request, and the interface to respond to it, immediately or later.
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -95,7 +95,8 @@
             return;
         }
         this->status = httpResponse.status;
-        this->response = MHD_create_response_from_buffer(httpResponse.body.size(), httpResponse.body.data(), MHD_RESPMEM_MUST_COPY);
+        const auto &body = httpResponse.sharedBody ? *httpResponse.sharedBody : httpResponse.body;
+        this->response = MHD_create_response_from_buffer(body.size(), const_cast<char *>(body.data()), MHD_RESPMEM_MUST_COPY);
         this->addHeaders(httpResponse.headers);
         this->resume();
     }
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -29,6 +29,7 @@
 // Time that the peer has to close the connection after the last response. Closing it earlier, with bytes unread, would reset it.
 constexpr core::Duration lingerTimeout = 1s;
 constexpr std::size_t streamBlockBytes = 32UL * 1024UL;
+constexpr std::size_t maxCopiedBodyBytes = 16UL * 1024UL; // a longer body is written from where it stands, after the head
 constexpr int maxAcceptsPerCallback = 64;
 constexpr int httpBadRequest = 400;
 constexpr int httpNoContent = 204;
@@ -113,10 +114,11 @@
     void parse(std::string_view bytes);
     void dispatchRequest();
     void reject(int status);
-    void writeResponse(int status, const Headers &headers, std::string_view body);
+    void writeResponse(HttpResponse response);
     void startStreamedResponse(int status, const Headers &headers, std::optional<std::size_t> size, std::shared_ptr<BodyPipe> source);
     void queueBody();
     void flush();
+    [[nodiscard]] bool writePending(std::string_view bytes, std::size_t &position);
     void handleResponseWritten();
     void closeConnection();
     void handlePeerDisconnect();
@@ -133,6 +135,9 @@
     std::string input; // bytes read but not parsed
     std::string output; // bytes to write
     std::size_t written = 0; // number of bytes of the output that were written
+    std::shared_ptr<const std::string> sharedBody; // body to write after the output
+    std::size_t sharedBodyWritten = 0; // number of bytes of the shared body that were written
+    core::Duration stallTimeout {}; // time without progress after which the present response is given up; 0 for the idle timeout
     std::shared_ptr<Exchange> exchange;
     std::shared_ptr<BodyPipe> pipe;
     core::TimePoint lastProgress; // time when bytes were last read or written
@@ -170,7 +175,7 @@
     void respond(HttpResponse response) override
     {
         if (const auto lockedConnection = this->releaseConnection()) {
-            lockedConnection->writeResponse(response.status, response.headers, response.body);
+            lockedConnection->writeResponse(std::move(response));
         }
     }
 
@@ -362,25 +367,35 @@
 void RelayServer::Connection::reject(int status)
 {
     this->isKeepAlive = false;
-    this->writeResponse(status, status == httpServiceUnavailable ? Headers {{"Retry-After", "1"}} : Headers {}, {});
+    this->writeResponse({status, status == httpServiceUnavailable ? Headers {{"Retry-After", "1"}} : Headers {}, {}});
 }
 
-void RelayServer::Connection::writeResponse(int status, const Headers &headers, std::string_view body)
+void RelayServer::Connection::writeResponse(HttpResponse response)
 {
     const bool isHeadRequest = this->exchange && this->exchange->httpRequest.method == "HEAD";
     this->state = State::Writing;
     this->isBodyQueued = true;
-    this->isKeepAlive = this->isKeepAlive && !equalsIgnoreCase(findHeader(headers, "Connection"), "close");
-    this->output = formatResponseHead(status, headers);
-    if (!this->isKeepAlive && findHeader(headers, "Connection").empty()) {
+    this->stallTimeout = response.stallTimeout;
+    this->isKeepAlive = this->isKeepAlive && !equalsIgnoreCase(findHeader(response.headers, "Connection"), "close");
+    this->output = formatResponseHead(response.status, response.headers);
+    if (!this->isKeepAlive && findHeader(response.headers, "Connection").empty()) {
         this->output.append("Connection: close\r\n");
     }
-    if (!isBodylessStatus(status)) {
-        this->output.append(fmt::format("Content-Length: {}\r\n", body.size()));
+    const auto bodySize = response.sharedBody ? response.sharedBody->size() : response.body.size();
+    if (!isBodylessStatus(response.status)) {
+        this->output.append(fmt::format("Content-Length: {}\r\n", bodySize));
     }
     this->output.append("\r\n");
-    if (!isHeadRequest && !isBodylessStatus(status)) {
-        this->output.append(body);
+    if (!isHeadRequest && !isBodylessStatus(response.status)) {
+        if (!response.sharedBody && bodySize > maxCopiedBodyBytes) {
+            response.sharedBody = std::make_shared<const std::string>(std::move(response.body));
+        }
+        if (response.sharedBody) {
+            this->sharedBody = std::move(response.sharedBody);
+            this->sharedBodyWritten = 0;
+        } else {
+            this->output.append(response.body);
+        }
     }
     this->flush();
 }
@@ -443,23 +458,37 @@
     this->flush();
 }
 
-void RelayServer::Connection::flush()
+// Writes the bytes after a position as far as the socket takes them. Returns false if bytes are left or the connection has ended.
+bool RelayServer::Connection::writePending(std::string_view bytes, std::size_t &position)
 {
-    while (this->written < this->output.size()) {
+    while (position < bytes.size()) {
         std::size_t sent = 0;
-        const auto result = writeSome(this->descriptor, std::string_view(this->output).substr(this->written), sent);
+        const auto result = writeSome(this->descriptor, bytes.substr(position), sent);
         if (result == IoResult::WouldBlock) {
-            return;
+            return false;
         }
         if (result != IoResult::Done) {
             this->handlePeerDisconnect();
-            return;
+            return false;
         }
-        this->written += sent;
+        position += sent;
         this->lastProgress = core::steadyNow();
     }
+    return true;
+}
+
+void RelayServer::Connection::flush()
+{
+    if (!this->writePending(this->output, this->written)) {
+        return;
+    }
     this->output.clear();
     this->written = 0;
+    // Held here, as the connection gives it up if the peer has disconnected.
+    if (const auto body = this->sharedBody; body && !this->writePending(*body, this->sharedBodyWritten)) {
+        return;
+    }
+    this->sharedBody.reset();
     if (this->isBodyQueued) {
         this->handleResponseWritten();
     } else if (this->pipe && !this->pipe->isEmpty()) {
@@ -472,6 +501,7 @@
     this->exchange.reset();
     this->pipe.reset();
     this->releaseBodySize();
+    this->stallTimeout = {};
     this->isBodyQueued = false;
     if (!this->isKeepAlive) {
         shutdown(this->descriptor, SHUT_WR);
@@ -518,6 +548,7 @@
     this->isClosed = true;
     this->releaseBodySize();
     this->exchange.reset();
+    this->sharedBody.reset();
     if (this->pipe) {
         this->pipe->onReadable = nullptr;
         this->pipe.reset();
@@ -539,7 +570,7 @@
     case State::Lingering:
         return age > lingerTimeout;
     case State::Writing:
-        return age > this->server.limits.idleTimeout;
+        return age > (this->stallTimeout.count() > 0 ? this->stallTimeout : this->server.limits.idleTimeout);
     case State::Handling:
         return false;
     }
--- a/src/store/changelog.cpp
+++ b/src/store/changelog.cpp
@@ -60,17 +60,40 @@
     this->latestRevision = std::max(this->latestRevision, revision);
 }
 
+bool ChangeLog::covers(std::uint64_t revision) const noexcept
+{
+    return this->latestRevision != 0 && revision >= this->baseRevision;
+}
+
+// Whether no later change of the same object is known. A node that catches up has no use for the earlier ones, and a storm of changes of
+// one large object would fill the memory of both nodes with them.
+bool ChangeLog::isLatest(const CollectionItem &change) const
+{
+    const auto found = this->items.find(change.name);
+    return found == this->items.end() ? change.isDeleted : found->second.revision == change.revision;
+}
+
 std::optional<std::vector<CollectionItem>> ChangeLog::changesAfter(std::uint64_t revision) const
 {
-    if (this->latestRevision == 0 || revision < this->baseRevision) {
+    if (!this->covers(revision)) {
         return std::nullopt;
     }
     std::vector<CollectionItem> later;
     std::copy_if(this->changes.begin(), this->changes.end(), std::back_inserter(later),
-                 [revision](const CollectionItem &item) { return item.revision > revision; });
+                 [this, revision](const CollectionItem &item) { return item.revision > revision && this->isLatest(item); });
     return later;
 }
 
+std::uint64_t ChangeLog::firstChangeAfter(std::uint64_t revision) const
+{
+    std::uint64_t first = 0;
+    for (const auto &change : this->changes) {
+        const bool isEarlier = change.revision > revision && (first == 0 || change.revision < first);
+        first = isEarlier && this->isLatest(change) ? change.revision : first;
+    }
+    return first;
+}
+
 std::vector<CollectionItem> ChangeLog::allItems() const
 {
     std::vector<CollectionItem> list;
--- a/src/store/changelog.h
+++ b/src/store/changelog.h
@@ -34,9 +34,15 @@
     /// Records that all changes up to a revision have been received.
     void advance(std::uint64_t revision);
 
-    /// Returns the changes after a revision, or nothing if the log does not hold all of them.
+    /// Whether the log holds all changes after a revision.
+    [[nodiscard]] bool covers(std::uint64_t revision) const noexcept;
+
+    /// Returns the changes after a revision, of each object only the latest one, or nothing if the log does not hold all of them.
     [[nodiscard]] std::optional<std::vector<CollectionItem>> changesAfter(std::uint64_t revision) const;
 
+    /// Returns the revision of the first change that changesAfter() returns; 0 if there is none.
+    [[nodiscard]] std::uint64_t firstChangeAfter(std::uint64_t revision) const;
+
     /// Returns all objects of the collection, ordered by name.
     [[nodiscard]] std::vector<CollectionItem> allItems() const;
 
@@ -48,6 +54,7 @@
 
 private:
     void addChange(const CollectionItem &item);
+    [[nodiscard]] bool isLatest(const CollectionItem &change) const;
 
     // Covers several minutes of changes; a node that was disconnected for longer reads a complete list.
     static constexpr std::size_t maxChanges = 1024;
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -3,6 +3,7 @@
 #include "mesh/changerelay.h"
 #include "store/changelog.h"
 
+#include <algorithm>
 #include <chrono>
 
 using namespace figpulley;
@@ -68,6 +69,29 @@
     });
 }
 
+// Guards against a node that catches up and is sent every version of an object that has changed often.
+Test(store, changes_after_a_revision_name_each_object_once)
+{
+    tests::Story story;
+    ChangeLog log;
+    log.put({"a", 3, "1", false});
+    log.put({"b", 4, "1", false});
+    log.reset({"a", "b"}, 5);
+    for (std::uint64_t revision = 6; revision < 106; ++revision) {
+        log.put({revision % 10 == 0 ? "b" : "a", revision, std::to_string(revision), false});
+    }
+    log.put({"c", 106, "1", false});
+    log.put({"c", 107, "", true});
+    const auto changes = log.changesAfter(5);
+    story.check(changes && changes->size() == 3, "one change of each object");
+    story.check(changes && std::ranges::any_of(*changes, [](const auto &item) { return item.name == "a" && item.content == "105"; }),
+                "the latest change of the first one");
+    story.check(changes && changes->back().isDeleted, "the deletion of the object that came and went");
+    story.equal(log.firstChangeAfter(5), 100U, "the first change to be the latest one of the second object");
+    story.equal(log.firstChangeAfter(107), 0U, "no change after the last one");
+    story.check(log.covers(5) && !log.covers(4), "the log to cover what follows the list");
+}
+
 Test(store, change_queries_and_their_responses_are_decoded_as_encoded)
 {
     const mesh::ChangeQuery query {"figpulley endpoints", 77, 1s};
