Keep only the latest change of each object in the change log

Cause: ChangeLog kept the last 1,024 changes of each collection with their content, counted and not measured, on every node. The full log of one collection may have 1 GB, as an object may have 1 MB.

Change: the log holds each object once, ordered by the revision of its latest change; what a node catches up with needs no more. Limits in bytes: contents above the largest object (endpoint records: 64 KB, which decodeEndpointRecord refuses as well, and texts of heartbeats above 1 KB are malformed, so that no record of ours is longer), all names and contents of a collection (32 MB; beyond it contents are left out, and the node refuses queries, whose senders read the store), and the names of deleted objects (256 KB; a node that has missed an earlier deletion lists the collection). Other objects of the configuration's collection are not kept. The log no longer takes an older version of an object that was deleted. figpulley_change_log_bytes shows the size.

Tests of the log's former allItems() and changesAfter() check the same values through list() and the new result.

--- a/src/discovery/endpointrecord.cpp
+++ b/src/discovery/endpointrecord.cpp
@@ -71,6 +71,9 @@
 
 std::optional<EndpointRecord> decodeEndpointRecord(std::string_view text)
 {
+    if (text.size() > maxRecordBytes) {
+        return std::nullopt;
+    }
     const auto object = core::parseJson(text);
     if (!object.is_object()) {
         return std::nullopt;
--- a/src/discovery/endpointrecord.h
+++ b/src/discovery/endpointrecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,6 +13,13 @@
 inline constexpr std::int64_t maxIncarnation = 253'402'300'799'999; ///< Unix milliseconds of the end of the year 9999
 inline constexpr std::int64_t maxColdMs = 24LL * 3600 * 1000;
 
+/// Longest text in a record, in bytes.
+inline constexpr std::size_t maxTextBytes = 1024;
+
+/// Longest encoded record, in bytes. A longer one is of another writer.
+inline constexpr std::size_t maxRecordBytes = 64UL * 1024UL;
+static_assert(6 * 6 * maxTextBytes < maxRecordBytes, "a record of six texts of only control characters, six bytes each, is valid");
+
 /// Lifecycle state of an endpoint.
 enum class EndpointState : std::uint8_t {
     Ready,
--- a/src/mesh/changerelay.cpp
+++ b/src/mesh/changerelay.cpp
@@ -71,24 +71,6 @@
     return query.revision != 0 && hasHistory(query, log) && log.firstChangeAfter(query.revision) == 0;
 }
 
-store::CollectionItems changesSince(const store::ChangeLog &log, const ChangeQuery &query)
-{
-    store::CollectionItems items;
-    items.revision = log.revision();
-    items.era = log.era();
-    if (query.revision == 0) {
-        items.items = log.allItems();
-        return items;
-    }
-    auto changes = isOfOtherEra(query, log) ? std::nullopt : log.changesAfter(query.revision);
-    if (changes) {
-        items.items = std::move(*changes);
-    } else {
-        items.kind = ErrorKind::HistoryGone;
-    }
-    return items;
-}
-
 // Answer to a query that finds no changes, or no history of them.
 net::HttpResponse emptyResponse(const store::ChangeLog &log, ErrorKind kind)
 {
@@ -186,9 +168,20 @@
     }
 }
 
-store::ChangeLog &ChangeRelay::changeLog(const std::string &collection)
+store::ChangeLog &ChangeRelay::changeLog(const std::string &collection, store::ChangeLogLimits limits)
 {
-    return this->collections[collection].log;
+    const auto [position, isNew] = this->collections.try_emplace(collection);
+    auto &log = position->second.log;
+    if (isNew) {
+        log = store::ChangeLog(limits);
+    }
+    return log;
+}
+
+std::size_t ChangeRelay::logBytes() const noexcept
+{
+    return std::accumulate(this->collections.begin(), this->collections.end(), std::size_t {},
+                           [](std::size_t sum, const auto &entry) { return sum + entry.second.log.bytes(); });
 }
 
 ChangeRelay::Waiter ChangeRelay::removeWaiter(CollectionState &state, WaiterPosition position)
@@ -209,7 +202,8 @@
     if (this->context.answers.isFull()) {
         return nullptr;
     }
-    auto text = this->context.answers.add(encode(changesSince(state.log, query)));
+    const auto items = query.revision == 0 ? state.log.list() : state.log.changesAfter(query.revision).value_or(store::CollectionItems {});
+    auto text = this->context.answers.add(encode(items));
     state.latestKey = key;
     state.latestText = text;
     return text;
@@ -243,6 +237,10 @@
 void ChangeRelay::answerWaiters(const std::string &collection)
 {
     auto &state = this->collections[collection];
+    if (!this->isServing(state)) {
+        this->refuseWaiters(state);
+        return;
+    }
     if (!this->isListed(state)) {
         return;
     }
@@ -305,7 +303,7 @@
     // The sender may have noticed a restore first. Learning of it makes this node list its collections again.
     static_cast<void>(this->context.storeEra.deliver(query->era, [] {}));
     const auto found = this->collections.find(query->collection);
-    if (this->isClosed || found == this->collections.end() || !found->second.isUpToDate) {
+    if (this->isClosed || found == this->collections.end() || !this->isServing(found->second)) {
         exchange->respond(unavailableResponse());
         return;
     }
@@ -331,6 +329,11 @@
     return state.log.revision() != 0 && state.log.era() == this->context.storeEra.current();
 }
 
+bool ChangeRelay::isServing(const CollectionState &state) const
+{
+    return state.isUpToDate && !state.log.isTruncated();
+}
+
 void ChangeRelay::addWaiter(CollectionState &state, ChangeQuery query, const std::shared_ptr<net::HttpExchange> &exchange)
 {
     const auto delay = query.wait;
--- a/src/mesh/changerelay.h
+++ b/src/mesh/changerelay.h
@@ -50,7 +50,10 @@
     ChangeRelay &operator=(const ChangeRelay &) = delete;
 
     /// Returns the change log of a collection; creates it on first use.
-    [[nodiscard]] store::ChangeLog &changeLog(const std::string &collection);
+    [[nodiscard]] store::ChangeLog &changeLog(const std::string &collection, store::ChangeLogLimits limits = {});
+
+    /// Returns the size of the names and contents that all change logs keep.
+    [[nodiscard]] std::size_t logBytes() const noexcept;
 
     /// Answers the waiting queries for which the log has changes, as far as the pool of answers has room. Must be called after all
     /// changes up to the log's revision have been added to it.
@@ -103,6 +106,8 @@
 
     // Whether the log holds a complete list of the current era of the store.
     [[nodiscard]] bool isListed(const CollectionState &state) const;
+    // Whether the log may answer queries.
+    [[nodiscard]] bool isServing(const CollectionState &state) const;
     [[nodiscard]] std::shared_ptr<const std::string> textOf(CollectionState &state, const ChangeQuery &query, std::uint64_t firstChange);
     [[nodiscard]] std::optional<net::HttpResponse> answer(CollectionState &state, const ChangeQuery &query);
     void answerAll();
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -110,17 +110,19 @@
 }
 
 std::shared_ptr<CollectionFollower> MeshNode::follow(const std::string &collection, const CollectionListener &listener,
-                                                     core::Duration changeDelay)
+                                                     const FollowOptions &options)
 {
-    auto &log = this->changes.changeLog(collection);
+    auto &log = this->changes.changeLog(collection, options.limits);
     CollectionListener loggingListener;
     loggingListener.onListBegun = [listener, &log](std::uint64_t era) {
         listener.onListBegun(era);
         log.beginList(era);
     };
-    loggingListener.onItem = [listener, &log](const store::CollectionItem &item) {
+    loggingListener.onItem = [listener, &log, only = options.onlyObject](const store::CollectionItem &item) {
         listener.onItem(item);
-        log.put(item);
+        if (only.empty() || item.name == only) {
+            log.put(item);
+        }
     };
     loggingListener.onListed = [listener, &log](const std::unordered_set<std::string> &names, std::uint64_t revision) {
         listener.onListed(names, revision);
@@ -138,7 +140,7 @@
     };
     auto follower = std::make_shared<CollectionFollower>(
         this->relayedStore, collection, std::move(loggingListener), schedule, this->random, [this] { return this->watchTimeout(); },
-        changeDelay);
+        options.changeDelay);
     follower->start();
     return follower;
 }
@@ -165,7 +167,7 @@
     routes.onListBegun = [](std::uint64_t) {};
     routes.onListed = [](const std::unordered_set<std::string> &, std::uint64_t) {};
     routes.onCaughtUp = [](std::uint64_t) {};
-    this->routesFollower = this->follow(this->wire.routesCollection(), routes, core::Duration {});
+    this->routesFollower = this->follow(this->wire.routesCollection(), routes, {{}, this->wire.routesName(), {}});
 
     CollectionListener endpoints;
     endpoints.onListBegun = [this](std::uint64_t /*era*/) { this->storedOwnRecord.reset(); };
@@ -190,7 +192,9 @@
     endpoints.onCaughtUp = [this](std::uint64_t revision) {
         this->registrar->confirmRecord(this->storedOwnRecord, {this->eraCheckedStore.era().current(), revision});
     };
-    this->endpointsFollower = this->follow(LocalRegistrar::collection, endpoints, endpointChangeDelay);
+    store::ChangeLogLimits endpointLimits;
+    endpointLimits.contentBytes = discovery::maxRecordBytes;
+    this->endpointsFollower = this->follow(LocalRegistrar::collection, endpoints, {endpointChangeDelay, {}, endpointLimits});
     this->registrar->start();
     this->reportLoad();
     core::log(core::LogLevel::Info, "node.started",
@@ -273,6 +277,7 @@
     this->metrics.setGauge("figpulley_slots_taken", load.running);
     this->metrics.setGauge("figpulley_requests_waiting", load.waiting);
     this->metrics.setGauge("figpulley_endpoint_limit_per_second", rateLimit.value_or(std::numeric_limits<double>::infinity()));
+    this->metrics.setGauge("figpulley_change_log_bytes", static_cast<double>(this->changes.logBytes()));
     this->metrics.setGauge("figpulley_peer_answer_bytes", static_cast<double>(this->answers.bytes()));
     core::log(core::LogLevel::Info, "node.load",
               {{"busy", fmt::format("{:.2f}", busyFraction)},
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -51,6 +51,14 @@
     [[nodiscard]] std::size_t inFlight() const noexcept;
 
 private:
+    /// How a collection is read, and what other nodes get of it.
+    struct FollowOptions
+    {
+        core::Duration changeDelay {}; ///< time between a watch with changes and the next one
+        std::string onlyObject; ///< name of the only object that other nodes need; empty for all
+        store::ChangeLogLimits limits;
+    };
+
     void checkStop();
     void reportLoad();
     void reportUnreadable(const std::string &collection, std::size_t count);
@@ -60,7 +68,7 @@
     void scheduleRemovalOfLost(std::uint64_t era);
     void handleStoreRestored(std::uint64_t earlierEra, std::uint64_t era);
     [[nodiscard]] std::shared_ptr<CollectionFollower> follow(const std::string &collection, const CollectionListener &listener,
-                                                             core::Duration changeDelay);
+                                                             const FollowOptions &options);
     [[nodiscard]] core::Duration watchTimeout();
 
     net::EventLoop &loop;
--- a/src/platform/platformwireformat.cpp
+++ b/src/platform/platformwireformat.cpp
@@ -71,14 +71,17 @@
     if (!body.is_object()) {
         return mesh::MalformedCall {"the heartbeat is not a JSON object"};
     }
-    const auto isText = [&body](const char *key) { return body.contains(key) && body[key].is_string(); };
+    const auto isText = [&body](const char *key) {
+        return body.contains(key) && body[key].is_string() && body[key].get_ref<const std::string &>().size() <= discovery::maxTextBytes;
+    };
     const auto isNumber = [&body](const char *key) { return body.contains(key) && body[key].is_number(); };
     const auto isInRange = [&](const char *key, double highest) {
         return isNumber(key) && body[key].get<double>() >= 0 && body[key].get<double>() <= highest;
     };
     const bool hasTexts = std::ranges::all_of(heartbeatTexts, isText);
-    if (id.empty() || !hasTexts) {
-        return mesh::MalformedCall {"the heartbeat needs an id in its path and the strings Service, Address, Zone, Version and State"};
+    if (id.empty() || id.size() > discovery::maxTextBytes || !hasTexts) {
+        return mesh::MalformedCall {
+            "the heartbeat needs an id in its path and the strings Service, Address, Zone, Version and State, of at most 1,024 bytes each"};
     }
     const std::int64_t sequence = body.contains(names::sequence) ? core::wholeNumber(body[names::sequence]).value_or(-1) : -1;
     if (!isInRange(names::slots, maxSlots) || !isInRange(names::coldRemaining, maxColdSeconds) || sequence < 0) {
--- a/src/store/changelog.h
+++ b/src/store/changelog.h
@@ -1,23 +1,35 @@
 #pragma once
 
 #include "store/collectionstore.h"
+#include "store/objectstore.h"
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
+#include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_set>
-#include <vector>
+#include <utility>
 
 namespace figpulley::store
 {
-/// Objects of a collection and its recent changes, all of one era of the store. A node serves them to other nodes, which then need not read
-/// the store.
+/// Limits of what a change log keeps, in bytes.
+struct ChangeLogLimits
+{
+    std::size_t contentBytes = maxValueBytes; ///< a longer content is kept as an empty one, which no reader accepts
+    std::size_t totalBytes = 32 * maxValueBytes; ///< names and contents of all objects; contents beyond that are left out
+    std::size_t deletionBytes = 256UL * 1024UL; ///< names of deleted objects; beyond that the earliest deletions are forgotten
+};
+
+/// Objects of a collection, all of one era of the store, each with its latest change only: what the log keeps grows with the objects and
+/// not with their versions. A node serves them to other nodes, which then need not read the store.
 class ChangeLog
 {
 public:
+    explicit ChangeLog(ChangeLogLimits limits = {});
+
     /// Prepares for the objects of a new list. If the store's era has changed, forgets everything that is known of the earlier era; then
     /// no changes are known until the list is complete.
     void beginList(std::uint64_t era);
@@ -37,14 +49,22 @@
     /// Whether the log holds all changes after a revision.
     [[nodiscard]] bool covers(std::uint64_t revision) const noexcept;
 
-    /// Returns the changes after a revision, of each object only the latest one, or nothing if the log does not hold all of them.
-    [[nodiscard]] std::optional<std::vector<CollectionItem>> changesAfter(std::uint64_t revision) const;
+    /// Whether contents were left out because of the total size. The log can then serve no other node, which has to read the store.
+    [[nodiscard]] bool isTruncated() const noexcept;
+
+    /// Returns the changes after a revision in the order of their revisions, of each object only the latest one, or nothing if the log
+    /// does not hold all of them.
+    /// @param maxBytes size of names and contents from which the rest is left out; `revision` is then that of the last change returned,
+    /// from which the next query continues
+    [[nodiscard]] std::optional<CollectionItems> changesAfter(std::uint64_t revision, std::size_t maxBytes = unlimited) const;
 
     /// Returns the revision of the first change that changesAfter() returns; 0 if there is none.
     [[nodiscard]] std::uint64_t firstChangeAfter(std::uint64_t revision) const;
 
-    /// Returns all objects of the collection, ordered by name.
-    [[nodiscard]] std::vector<CollectionItem> allItems() const;
+    /// Returns the objects of the collection, ordered by name.
+    /// @param after only the objects whose names follow this one
+    /// @param maxBytes size of names and contents from which the rest is left out; `hasMore` and `lastName` are then set
+    [[nodiscard]] CollectionItems list(const std::string &after = {}, std::size_t maxBytes = unlimited) const;
 
     /// Returns the revision up to which all changes are known; 0 before the first list of an era.
     [[nodiscard]] std::uint64_t revision() const noexcept;
@@ -52,15 +72,26 @@
     /// Returns the era of the store that the objects and revisions belong to.
     [[nodiscard]] std::uint64_t era() const noexcept;
 
+    /// Returns the size of the names and contents that the log keeps.
+    [[nodiscard]] std::size_t bytes() const noexcept;
+
+    static constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
+
 private:
-    void addChange(const CollectionItem &item);
-    [[nodiscard]] bool isLatest(const CollectionItem &change) const;
+    using Order = std::set<std::pair<std::uint64_t, std::string>>;
 
-    // Covers several minutes of changes; a node that was disconnected for longer reads a complete list.
-    static constexpr std::size_t maxChanges = 1024;
+    void store(CollectionItem item);
+    void forget(const CollectionItem &item);
+    void forgetEarliestDeletions();
+    [[nodiscard]] CollectionItems emptyItems() const;
 
-    std::map<std::string, CollectionItem> items;
-    std::deque<CollectionItem> changes; // in the order in which they became known
+    ChangeLogLimits limits;
+    std::map<std::string, CollectionItem> items; // latest change of each object, deletions included
+    Order order; // revision and name of each item
+    Order deletions; // the same of the items that are deletions
+    std::unordered_set<std::string> truncated; // names of the objects whose content was left out because of the total size
+    std::size_t keptBytes = 0;
+    std::size_t deletionBytes = 0;
     std::uint64_t baseRevision = 0; // the log holds the changes after this revision
     std::uint64_t latestRevision = 0;
     std::uint64_t storeEra = 0;
--- a/tests/memory_test.cpp
+++ b/tests/memory_test.cpp
@@ -70,3 +70,13 @@
     story.check(node.process->isRunning() && node.process->peakMemory() < tests::smallestVmBytes,
                 fmt::format("the node within its memory, not {} bytes", node.process->peakMemory()));
 }
+
+// Guards against a node that keeps every version of a large configuration until it exceeds its memory (incident 0011).
+Test(memory, node_keeps_no_earlier_versions_of_a_large_configuration)
+{
+    tests::Story story;
+    tests::LargeStateNode node;
+    node.change(170); // more bytes than the node may have, if it keeps them
+    story.check(node.process->isRunning() && node.process->peakMemory() < tests::smallestVmBytes,
+                fmt::format("the node within its memory, not {} bytes", node.process->peakMemory()));
+}
--- a/tests/restore_test.cpp
+++ b/tests/restore_test.cpp
@@ -179,11 +179,11 @@
     story.check(!log.changesAfter(9).has_value(), "no changes to be known before the list is complete");
     log.put({"a", 5, "restored", false});
     log.reset({"a"}, 5);
-    story.equal(log.allItems().size(), 1U, "only the restored object");
-    story.equal(log.allItems().front().content, std::string("restored"), "its content to be the restored one");
+    story.equal(log.list().items.size(), 1U, "only the restored object");
+    story.equal(log.list().items.front().content, std::string("restored"), "its content to be the restored one");
     log.put({"a", 6, "changed", false});
     log.advance(6);
-    story.check(log.changesAfter(5).has_value() && log.changesAfter(5)->size() == 1U, "a change after the restore to be logged");
+    story.check(log.changesAfter(5).has_value() && log.changesAfter(5)->items.size() == 1U, "a change after the restore to be logged");
 }
 
 // Guards against all nodes listing the store at the moment at which it returns, since their watchers have refused them while it was away.
