Answer lists and changes in pages that the sender of a query can take

The time limit of a query was for the whole response, 0.25 s after its wait, so that 33 nodes that receive 614 KB each over one link of 200 Mbit/s would give up transfers that were under way, count their watcher as lost and read the store.

Change: answers end at 1 MB of names and contents. Changes go out in the order of their revisions, and the next query continues from the last one, which earlier versions do as well. Lists go out by name to senders of Figpulley-Page, the next page from the node of the previous one; a list begins again, with a growing delay, if a later page is of an earlier revision than the first, as the watch would miss what lies between. An earlier version gets the whole list up to 8 MB. A sender takes 8 MB, a page with every byte escaped. ClientRequest::headTimeout limits the time until the head; the body has 2 s more.

--- a/src/mesh/changerelay.cpp
+++ b/src/mesh/changerelay.cpp
@@ -25,6 +25,9 @@
 constexpr int httpOk = 200;
 constexpr int httpBadRequest = 400;
 constexpr int httpServiceUnavailable = 503;
+constexpr std::size_t maxWholeListBytes = 8 * ChangeRelay::maxPageBytes;
+constexpr char pageMark = '/'; // precedes the name, so that the header of the first page has a value
+constexpr const char *hasMoreKey = "has_more";
 constexpr const char *historyGoneKey = "history_gone";
 constexpr const char *eraKey = "era";
 
@@ -71,6 +74,21 @@
     return query.revision != 0 && hasHistory(query, log) && log.firstChangeAfter(query.revision) == 0;
 }
 
+// Returns one page of what a query asks for.
+store::CollectionItems pageOf(const store::ChangeLog &log, const ChangeQuery &query)
+{
+    if (query.revision != 0) {
+        return log.changesAfter(query.revision, ChangeRelay::maxPageBytes).value_or(store::CollectionItems {});
+    }
+    return query.after ? log.list(*query.after, ChangeRelay::maxPageBytes) : log.list();
+}
+
+// Whether a query asks for a list in one answer that would be too large.
+bool isTooLarge(const ChangeQuery &query, const store::ChangeLog &log)
+{
+    return query.revision == 0 && !query.after && log.bytes() > maxWholeListBytes;
+}
+
 // Answer to a query that finds no changes, or no history of them.
 net::HttpResponse emptyResponse(const store::ChangeLog &log, ErrorKind kind)
 {
@@ -105,14 +123,31 @@
     return isValid ? std::optional(std::move(query)) : std::nullopt;
 }
 
+std::string encodePageStart(std::string_view after)
+{
+    text::FieldWriter fields;
+    fields.add(pageMark + std::string(after));
+    return fields.take();
+}
+
+std::optional<std::string> decodePageStart(std::string_view text)
+{
+    const auto fields = text::splitFields<1>(text);
+    auto name = fields ? text::unescape((*fields)[0]) : std::string();
+    if (name.empty() || name.front() != pageMark) {
+        return std::nullopt;
+    }
+    return name.substr(1);
+}
+
 std::string encode(const store::CollectionItems &items)
 {
     const auto contentBytes = std::accumulate(items.items.begin(), items.items.end(), std::size_t {},
                                               [](std::size_t sum, const auto &item) { return sum + item.content.size(); });
     std::string text;
     text.reserve(contentBytes + contentBytes / 4); // JSON in a JSON string: quotes are escaped
-    text += fmt::format(R"({{"revision":{},"{}":{},"{}":{},"items":[)", items.revision, eraKey, items.era, historyGoneKey,
-                        items.kind == ErrorKind::HistoryGone);
+    text += fmt::format(R"({{"revision":{},"{}":{},"{}":{},"{}":{},"items":[)", items.revision, eraKey, items.era, historyGoneKey,
+                        items.kind == ErrorKind::HistoryGone, hasMoreKey, items.hasMore);
     for (const auto &item : items.items) {
         text += &item == &items.items.front() ? "" : ",";
         text += encode(item);
@@ -129,10 +164,12 @@
         items.revision = core::countOf(object.at("revision"));
         items.era = object.contains(eraKey) ? core::countOf(object[eraKey]) : 0;
         items.kind = object.at(historyGoneKey).get<bool>() ? ErrorKind::HistoryGone : ErrorKind::None;
+        items.hasMore = object.value(hasMoreKey, false);
         for (auto &entry : object.at("items")) {
             items.items.push_back({entry.at("name").get<std::string>(), core::countOf(entry.at("revision")),
                                    std::move(entry.at("content").get_ref<std::string &>()), entry.at("deleted").get<bool>()});
         }
+        items.lastName = items.items.empty() ? std::string() : items.items.back().name;
     } catch (const nlohmann::json::exception &) {
         // The caller logs the failure of the peer and queries the store instead.
         items = store::unavailableItems(0);
@@ -195,15 +232,14 @@
 // Returns the text of an answer with objects, or null if the pool is full.
 std::shared_ptr<const std::string> ChangeRelay::textOf(CollectionState &state, const ChangeQuery &query, std::uint64_t firstChange)
 {
-    const AnswerKey key {state.log.era(), state.log.revision(), firstChange};
+    const AnswerKey key {state.log.era(), state.log.revision(), firstChange, query.after};
     if (auto text = state.latestText.lock(); text && state.latestKey == key) {
         return text;
     }
     if (this->context.answers.isFull()) {
         return nullptr;
     }
-    const auto items = query.revision == 0 ? state.log.list() : state.log.changesAfter(query.revision).value_or(store::CollectionItems {});
-    auto text = this->context.answers.add(encode(items));
+    auto text = this->context.answers.add(encode(pageOf(state.log, query)));
     state.latestKey = key;
     state.latestText = text;
     return text;
@@ -300,6 +336,7 @@
     if (!text::readNumber(net::findHeader(headers, eraHeader), query->era)) {
         query->era = 0;
     }
+    query->after = decodePageStart(net::findHeader(headers, pageHeader));
     // The sender may have noticed a restore first. Learning of it makes this node list its collections again.
     static_cast<void>(this->context.storeEra.deliver(query->era, [] {}));
     const auto found = this->collections.find(query->collection);
@@ -308,6 +345,10 @@
         return;
     }
     auto &state = found->second;
+    if (isTooLarge(*query, state.log)) {
+        exchange->respond(unavailableResponse());
+        return;
+    }
     if (!this->isListed(state)) {
         // A list takes one call to the store; refusing queries meanwhile would send all their senders there.
         query->wait = std::max(query->wait, maxListTime);
@@ -341,12 +382,12 @@
     position->timer = this->context.loop.callAfter(delay, [this, &state, position] {
         position->timer = net::EventLoop::noTimer;
         const auto waiter = this->removeWaiter(state, position);
-        const bool isKnown = this->isListed(state);
+        const bool isKnown = this->isListed(state) && this->isServing(state) && !isTooLarge(waiter.query, state.log);
         if (auto response = isKnown ? this->answer(state, waiter.query) : std::nullopt) {
             waiter.exchange->respond(std::move(*response));
             return;
         }
-        if (isKnown || waiter.query.revision == 0) {
+        if (isKnown || waiter.query.revision == 0 || !this->isServing(state)) {
             waiter.exchange->respond(unavailableResponse());
             return;
         }
--- a/src/mesh/changerelay.h
+++ b/src/mesh/changerelay.h
@@ -22,6 +22,8 @@
     std::uint64_t revision = 0; ///< revision after which changes are requested; 0 requests all objects of the collection
     core::Duration wait {}; ///< time without changes after which an empty response is sent
     std::uint64_t era = 0; ///< era of the store that the revision belongs to; 0 if the sender states none. Sent in a header of its own
+    std::optional<std::string> after {}; ///< last name of the previous page of all objects, empty for the first page; nothing if the sender
+                                         ///< takes only the whole list. Sent in a header of its own
 
     [[nodiscard]] bool operator==(const ChangeQuery &) const = default;
 };
@@ -31,6 +33,12 @@
 /// Decodes a header of an untrusted peer; returns nothing if it is malformed.
 [[nodiscard]] std::optional<ChangeQuery> decodeChangeQuery(std::string_view text);
 
+/// Encodes the name after which a page of all objects begins.
+[[nodiscard]] std::string encodePageStart(std::string_view after);
+
+/// Decodes the name after which a page begins; returns nothing if the header is missing or malformed.
+[[nodiscard]] std::optional<std::string> decodePageStart(std::string_view text);
+
 /// Encodes items as JSON.
 [[nodiscard]] std::string encode(const store::CollectionItems &items);
 
@@ -75,6 +83,12 @@
     /// Header with the era of the store that the sender of a query knows of. Nodes of versions without it ignore it.
     static constexpr const char *eraHeader = "Figpulley-Era";
 
+    /// Header of a sender that takes all objects in pages. Nodes of versions without it ignore it and answer with the whole list.
+    static constexpr const char *pageHeader = "Figpulley-Page";
+
+    /// Size of the names and contents from which an answer ends; the sender continues with the next query.
+    static constexpr std::size_t maxPageBytes = store::maxValueBytes;
+
 private:
     struct Waiter
     {
@@ -89,6 +103,7 @@
         std::uint64_t era = 0;
         std::uint64_t revision = 0; // revision of the log
         std::uint64_t firstChange = 0; // revision of the first change in the answer; 0 for a list of all objects
+        std::optional<std::string> after; // name after which a page of such a list begins
 
         [[nodiscard]] bool operator==(const AnswerKey &) const = default;
     };
--- a/src/mesh/collectionfollower.cpp
+++ b/src/mesh/collectionfollower.cpp
@@ -89,6 +89,10 @@
     } else if (page.era != this->era) {
         this->list();
         return;
+    } else if (page.revision < this->listRevision) {
+        // A source that knows less than that of the first page: the watch would miss the changes in between.
+        this->scheduleList(this->staleListCount);
+        return;
     }
     ++this->listedPages;
     for (const auto &item : page.items) {
@@ -107,6 +111,7 @@
                {"era", fmt::to_string(this->era)},
                {"objects", fmt::to_string(this->names.size())},
                {"earlier_revision", fmt::to_string(this->revision)}});
+    this->staleListCount = 0;
     this->listener.onListed(this->names, this->listRevision);
     this->revision = this->listRevision;
     this->listener.onCaughtUp(this->revision);
--- a/src/mesh/collectionfollower.h
+++ b/src/mesh/collectionfollower.h
@@ -64,6 +64,7 @@
     std::uint64_t round = 0; // number of lists begun; responses to calls of earlier rounds are ignored
     int failureCount = 0; // number of consecutive calls that failed
     int historyGoneCount = 0; // number of times that the history was gone since the last successful watch
+    int staleListCount = 0; // number of lists in a row that ended because a later page was older than the first
     int watchesWithChanges = 0; // number of consecutive watches that returned changes
     std::size_t listedPages = 0; // number of pages of the last list
     bool isFirstPageAwaited = false;
--- a/src/mesh/relayedstore.cpp
+++ b/src/mesh/relayedstore.cpp
@@ -27,7 +27,10 @@
 // Causes of a read of the store.
 constexpr const char *noSource = "no other node to query";
 constexpr const char *sourceFailed = "queried nodes failed";
-constexpr std::size_t maxResponseBytes = 16UL << 20U;
+// A page of a node has names and contents of 1 MB, and JSON escapes one byte with at most six.
+constexpr std::size_t maxResponseBytes = 8 * ChangeRelay::maxPageBytes;
+// Added for the body of the response: all nodes of a zone may receive a large configuration from one node at the same time.
+constexpr core::Duration maxBodyTime = 2s;
 constexpr int httpOk = 200;
 } // namespace
 
@@ -53,7 +56,11 @@
     request.url = fmt::format("http://{}/", node);
     request.headers.push_back({ChangeRelay::header, encode(query)});
     request.headers.push_back({ChangeRelay::eraHeader, fmt::to_string(this->context.storeEra.current())});
-    request.timeout = query.wait + watcherMargin;
+    if (query.after) {
+        request.headers.push_back({ChangeRelay::pageHeader, encodePageStart(*query.after)});
+    }
+    request.headTimeout = query.wait + watcherMargin;
+    request.timeout = request.headTimeout + maxBodyTime;
     request.connectTimeout = watcherConnectTimeout;
     this->context.client.fetch(request, maxResponseBytes,
                                [this, node, query, callback = std::move(callback), fallback = std::move(fallback),
@@ -62,9 +69,12 @@
                                        return;
                                    }
                                    const bool isAnswered = response.result.kind == ErrorKind::None && response.head.status == httpOk;
-                                   const auto items = isAnswered ? decodeItems(response.body) : store::CollectionItems {};
+                                   auto items = isAnswered ? decodeItems(response.body) : store::CollectionItems {};
                                    if (isAnswered && items.kind != ErrorKind::PlatformUnavailable) {
-                                       this->deliver(query.collection, items, callback);
+                                       if (query.after) {
+                                           this->listSources[query.collection] = node;
+                                       }
+                                       this->deliver(query.collection, std::move(items), callback);
                                        return;
                                    }
                                    core::log(core::LogLevel::Info, "watcher.avoided",
@@ -101,14 +111,13 @@
 }
 
 // A watcher that answers with an earlier era has learned of the current one from the query, so the caller can query it again soon.
-void RelayedStore::deliver(const std::string &collection, const store::CollectionItems &response, const ItemsCallback &callback)
+void RelayedStore::deliver(const std::string &collection, store::CollectionItems response, const ItemsCallback &callback)
 {
     const bool isCurrent = this->context.storeEra.deliver(response.era, [&] {
         this->relay.setUpToDate(collection, true);
-        auto current = response;
-        current.era = this->context.storeEra.current();
-        current.hasAllChanges = true;
-        callback(current);
+        response.era = this->context.storeEra.current();
+        response.hasAllChanges = true;
+        callback(response);
     });
     if (!isCurrent) {
         callback(store::unavailableItems(this->context.storeEra.current()));
@@ -135,6 +144,7 @@
 
 void RelayedStore::listFromStore(const std::string &collection, const std::string &after, ItemsCallback callback)
 {
+    this->listSources[collection].clear();
     this->context.store.list(collection, after,
                              [this, collection, callback = std::move(callback),
                               token = std::weak_ptr<bool>(this->lifetimeToken)](const store::CollectionItems &response) {
@@ -159,15 +169,18 @@
 
 void RelayedStore::list(const std::string &collection, const std::string &after, ItemsCallback callback)
 {
-    const auto node = after.empty() ? this->selectSource(core::steadyNow()) : std::string();
+    // The next page comes from where the previous one came from: another node may know less.
+    const auto node = after.empty() ? this->selectSource(core::steadyNow()) : this->listSources[collection];
     if (node.empty()) {
         this->countRead(collection, "list", after.empty() ? noSource : "next page");
         this->listFromStore(collection, after, std::move(callback));
         return;
     }
-    this->query(node, {collection, 0, {}}, callback, [this, collection, callback] {
+    ChangeQuery query {collection, 0, {}};
+    query.after = after;
+    this->query(node, query, callback, [this, collection, after, callback] {
         this->countRead(collection, "list", sourceFailed);
-        this->listFromStore(collection, {}, callback);
+        this->listFromStore(collection, after, callback);
     });
 }
 
@@ -180,7 +193,7 @@
         return;
     }
     // Falls back to a watch of the store from the same revision, which immediately returns the changes that the watcher has missed.
-    this->query(node, {collection, revision, watcherWait}, callback, [this, collection, revision, wait, callback] {
+    this->query(node, ChangeQuery {collection, revision, watcherWait}, callback, [this, collection, revision, wait, callback] {
         this->countRead(collection, "watch", sourceFailed);
         this->watchStore(collection, revision, wait, callback);
     });
--- a/src/mesh/relayedstore.h
+++ b/src/mesh/relayedstore.h
@@ -30,7 +30,7 @@
     void query(const std::string &node, const ChangeQuery &query, ItemsCallback callback, std::function<void()> fallback);
     void handleFailure(const std::string &node, const ChangeQuery &query, bool isRefusal, const ItemsCallback &callback,
                        const std::function<void()> &fallback);
-    void deliver(const std::string &collection, const store::CollectionItems &response, const ItemsCallback &callback);
+    void deliver(const std::string &collection, store::CollectionItems response, const ItemsCallback &callback);
     void countRead(const std::string &collection, const char *call, const char *cause);
     void listFromStore(const std::string &collection, const std::string &after, ItemsCallback callback);
     void watchStore(const std::string &collection, std::uint64_t revision, core::Duration wait, ItemsCallback callback);
@@ -39,6 +39,7 @@
     MeshContext context;
     ChangeRelay &relay;
     StoreAccess access;
+    std::map<std::string, std::string> listSources; // node that has sent the latest page of a list, by collection; none if the store has
     std::shared_ptr<bool> lifetimeToken = std::make_shared<bool>(true); // expires with this object; a response may arrive later
 };
 } // namespace figpulley::mesh
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -59,6 +59,7 @@
         bool isPaused = false;
         int sendCount = 0;
         core::Duration ackTimeout {};
+        EventLoop::TimerId headTimer = EventLoop::noTimer;
     };
 
     explicit Implementation(EventLoop &loop)
@@ -78,6 +79,7 @@
     {
         this->loop.cancel(this->timer);
         for (auto &[id, transfer] : this->transfers) {
+            this->loop.cancel(transfer->headTimer);
             curl_multi_remove_handle(this->multi, transfer->handle);
             curl_slist_free_all(transfer->headerList);
             curl_easy_cleanup(transfer->handle);
@@ -232,6 +234,7 @@
         const auto found = this->transfers.find(static_cast<std::uint64_t>(finishedTransfer->id));
         const auto transfer = std::move(found->second);
         this->transfers.erase(found);
+        this->loop.cancel(transfer->headTimer);
         if (code == CURLE_OK && transfer->isHeadComplete) {
             deliverHead(*transfer);
         }
@@ -241,6 +244,18 @@
         transfer->callbacks.onDone(result);
     }
 
+    // Ends a transfer whose response has not begun in time.
+    void scheduleHeadTimeout(Transfer &transfer, core::Duration timeout)
+    {
+        transfer.headTimer = this->loop.callAfter(timeout, [this, id = static_cast<std::uint64_t>(transfer.id)] {
+            auto &waiting = *this->transfers.at(id);
+            waiting.headTimer = EventLoop::noTimer;
+            if (!waiting.isHeadComplete) {
+                this->finish(waiting.handle, CURLE_OPERATION_TIMEDOUT);
+            }
+        });
+    }
+
     static ClientResult resultOf(const Transfer &transfer, CURLcode code)
     {
         // libcurl reports a head that the end of the connection cuts off as a complete response.
@@ -408,6 +423,9 @@
     Implementation::setRequestOptions(*transfer, request);
     Implementation::setConnectionOptions(*transfer, request);
     Implementation::setCallbacks(*transfer);
+    if (request.headTimeout.count() > 0) {
+        self.scheduleHeadTimeout(*transfer, request.headTimeout);
+    }
     const auto id = transfer->id;
     auto *handle = transfer->handle;
     self.transfers.emplace(static_cast<std::uint64_t>(id), std::move(transfer));
@@ -448,6 +466,7 @@
     }
     const auto cancelled = std::move(found->second);
     self.transfers.erase(found);
+    self.loop.cancel(cancelled->headTimer);
     curl_multi_remove_handle(self.multi, cancelled->handle);
     self.releaseHandle(*cancelled);
 }
--- a/src/net/httpsender.h
+++ b/src/net/httpsender.h
@@ -21,6 +21,7 @@
     Headers headers;
     std::string body;
     core::Duration timeout {}; ///< time limit for the whole exchange
+    core::Duration headTimeout {}; ///< HttpClient: time limit until the head of the response is complete; 0 applies only `timeout`
     core::Duration connectTimeout {}; ///< time limit for the connection to be established; 0 applies only `timeout`
     bool needsNewConnection = false; ///< the request needs a new connection, which is not reused
     bool mayResend = true; ///< the request may be sent again if a reused connection fails before a response
--- a/src/store/changelog.cpp
+++ b/src/store/changelog.cpp
@@ -7,6 +7,8 @@
 {
 namespace
 {
+constexpr std::size_t itemOverheadBytes = 64; // of one object in a response, beside its name and content
+
 std::size_t sizeOf(const CollectionItem &item)
 {
     return item.name.size() + item.content.size();
@@ -133,7 +135,7 @@
     std::size_t bytes = 0;
     for (auto at = this->order.lower_bound({revision + 1, {}}); at != this->order.end(); ++at) {
         const auto &item = this->items.at(at->second);
-        bytes += sizeOf(item);
+        bytes += sizeOf(item) + itemOverheadBytes;
         // Objects that a list has found missing are deleted at one revision and have to stay together.
         const bool isDivisible = !later.items.empty() && later.items.back().revision != item.revision;
         if (isDivisible && bytes > maxBytes) {
@@ -160,7 +162,7 @@
         if (item.isDeleted) {
             continue;
         }
-        bytes += sizeOf(item);
+        bytes += sizeOf(item) + itemOverheadBytes;
         if (!page.items.empty() && bytes > maxBytes) {
             page.hasMore = true;
             break;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -14,6 +14,7 @@
 
 using namespace figpulley;
 using core::ErrorKind;
+using namespace std::chrono_literals;
 
 namespace
 {
@@ -444,3 +445,32 @@
     story.check(core::steadyNow() - sent < std::chrono::seconds(2), "an end before the timeout");
     thread.call([&] { client.reset(); });
 }
+
+// Guards against a large response over a busy link that is given up although it arrives, and against a silent server that is waited for
+// as long as for a large response.
+Test(net, time_of_the_head_and_time_of_the_body_have_limits_of_their_own)
+{
+    tests::Story story;
+    tests::HttpCaller caller;
+    story.section("the body takes longer than the head may", [&] {
+        tests::RawServer server([](int, const std::string &) { return "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n"; });
+        server.laterPieces.assign(40, "x"); // with a pause before each
+        net::ClientRequest request;
+        request.url = "http://" + server.address().toString() + "/";
+        request.headTimeout = 300ms;
+        request.timeout = 5s;
+        const auto response = caller.call(request);
+        story.check(response.result.kind == core::ErrorKind::None && response.body.size() == 40, "the whole response");
+    });
+    story.section("the head never comes", [&] {
+        tests::RawServer server([](int, const std::string &) { return std::string("HTTP/1.1 200 OK\r\n"); });
+        server.laterPieces.assign(1, "X: y\r\n");
+        net::ClientRequest request;
+        request.url = "http://" + server.address().toString() + "/";
+        request.headTimeout = 300ms;
+        request.timeout = 10s;
+        const auto before = core::steadyNow();
+        story.check(caller.call(request).result.kind == core::ErrorKind::DeadlineUnknown, "the request to time out");
+        story.check(core::steadyNow() - before < 3s, "the head's limit to apply");
+    });
+}
--- a/tests/support/largestate.h
+++ b/tests/support/largestate.h
@@ -7,6 +7,7 @@
 #include "mesh/changerelay.h"
 #include "net/loopthread.h"
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -43,11 +44,12 @@
     return text + "]}]}";
 }
 
-/// A node process that reads a large configuration from a store of its own.
-class LargeStateNode
+/// Node processes of one zone that read a large configuration from a store of their own.
+class LargeStateFleet
 {
 public:
-    LargeStateNode()
+    /// @param nodes number of nodes; the endpoints of several send heartbeats, so that the nodes know each other
+    explicit LargeStateFleet(int nodes = 1)
     {
         core::setLogLevel(core::LogLevel::Off);
         this->thread.call([this] {
@@ -55,67 +57,96 @@
             this->store->writeRaw("config", "main", largeRoutes(1));
         });
         const auto storeAddress = this->thread.call([this] { return this->store->address(); });
-        this->process = std::make_unique<NodeProcess>(ProcessVm {"m1", "motivi", {"127.0.0.1", 9}}, storeAddress, 6);
-        this->waitForVersion(1);
+        for (int number = 1; number <= nodes; ++number) {
+            this->processes.push_back(
+                std::make_unique<NodeProcess>(ProcessVm {fmt::format("m{}", number), "motivi", {"127.0.0.1", 9}}, storeAddress, 6));
+        }
+        if (nodes > 1) {
+            this->heart = std::thread([this] { this->beat(); });
+        }
+        for (const auto &process : this->processes) {
+            this->waitForStatus(*process, "\"config_version\":1,", std::chrono::seconds(10));
+            this->waitForStatus(*process, nodes > 1 ? fmt::format("\"endpoints_known\":{}", nodes) : "", std::chrono::seconds(10));
+        }
     }
 
-    ~LargeStateNode()
+    ~LargeStateFleet()
     {
-        this->process.reset();
+        this->isStopped = true;
+        if (this->heart.joinable()) {
+            this->heart.join();
+        }
+        this->processes.clear();
         this->thread.call([this] { this->store.reset(); });
     }
 
-    LargeStateNode(const LargeStateNode &) = delete;
-    LargeStateNode &operator=(const LargeStateNode &) = delete;
+    LargeStateFleet(const LargeStateFleet &) = delete;
+    LargeStateFleet &operator=(const LargeStateFleet &) = delete;
 
-    /// Writes the next versions of the configuration, each after the node has activated the one before.
+    /// @returns the first node
+    [[nodiscard]] NodeProcess &node()
+    {
+        return *this->processes.front();
+    }
+
+    /// Writes the next versions of the configuration, each after the first node has activated the one before.
     void change(int count)
     {
         for (int at = 0; at < count; ++at) {
             ++this->version;
             this->thread.call([this] { this->store->writeRaw("config", "main", largeRoutes(this->version)); });
-            this->waitForVersion(this->version);
+            cr_assert(this->reachesNewest(this->node(), std::chrono::seconds(10)), "the node did not activate version %d", this->version);
         }
     }
 
-    /// Runs a function on the store's thread.
-    void onStore(const std::function<void(MetadataStore &)> &function)
+    /// @returns whether a node activates the latest version within a time
+    [[nodiscard]] bool reachesNewest(const NodeProcess &process, core::Duration limit)
     {
-        this->thread.call([&] { function(*this->store); });
+        return this->waitForStatus(process, fmt::format("\"config_version\":{},", this->version), limit);
     }
 
-    void waitForVersion(int expected)
+    /// Sends a heartbeat of the endpoint beside a node.
+    void heartbeat(const NodeProcess &process, int sequence)
     {
-        const auto text = fmt::format("\"config_version\":{},", expected);
-        const auto deadline = core::steadyNow() + std::chrono::seconds(10);
         net::ClientRequest request;
-        request.url = "http://" + this->process->vm().metrics.toString() + "/status";
-        while (this->caller.call(request).body.find(text) == std::string::npos) {
-            cr_assert(core::steadyNow() < deadline, "the node did not activate version %d within 10 s", expected);
-            std::this_thread::sleep_for(std::chrono::milliseconds(5));
-        }
+        request.method = "POST";
+        request.url = fmt::format("http://{}/v1/Instances.Heartbeat/i-{}", process.vm().control.toString(), process.vm().name);
+        request.body = fmt::format(
+            R"({{"Service":"motivi","Address":"127.0.0.1:9","Zone":"mineo","Version":"v1","Slots":4,"State":"ready","ColdRemainingS":0,"Seq":{},"born":100}})",
+            sequence);
+        request.timeout = std::chrono::seconds(1);
+        static_cast<void>(this->beater.call(request));
     }
 
-    /// Asks the node for changes as another node does.
+    /// Runs a function on the store's thread.
+    void onStore(const std::function<void(MetadataStore &)> &function)
+    {
+        this->thread.call([&] { function(*this->store); });
+    }
+
+    /// Asks the first node for changes as another node does.
     [[nodiscard]] net::ClientResponse query(const mesh::ChangeQuery &query)
     {
         net::ClientRequest request;
-        request.url = "http://" + this->process->vm().ingress.toString() + "/";
+        request.url = "http://" + this->node().vm().ingress.toString() + "/";
         request.headers = {{mesh::ChangeRelay::header, mesh::encode(query)}, {mesh::ChangeRelay::eraHeader, "1"}};
+        if (query.after) {
+            request.headers.push_back({mesh::ChangeRelay::pageHeader, mesh::encodePageStart(*query.after)});
+        }
         return this->caller.call(request);
     }
 
-    /// Sends a request to the node's ingress on a connection that does not read.
+    /// Sends a request to the first node's ingress on a connection that does not read.
     /// @returns the connection, which the caller closes
-    [[nodiscard]] int askWithoutReading(const std::string &headers) const
+    [[nodiscard]] int askWithoutReading(const std::string &headers)
     {
         const int connection = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const int smallBuffer = 4096;
         setsockopt(connection, SOL_SOCKET, SO_RCVBUF, &smallBuffer, sizeof smallBuffer);
         sockaddr_in target {};
         target.sin_family = AF_INET;
-        target.sin_port = htons(this->process->vm().ingress.port);
-        inet_pton(AF_INET, this->process->vm().ingress.ip.c_str(), &target.sin_addr);
+        target.sin_port = htons(this->node().vm().ingress.port);
+        inet_pton(AF_INET, this->node().vm().ingress.ip.c_str(), &target.sin_addr);
         cr_assert(connect(connection, reinterpret_cast<sockaddr *>(&target), sizeof target) == 0, "no connection to the node");
         const auto text = "GET / HTTP/1.1\r\nHost: node\r\n" + headers + "\r\n";
         cr_assert(send(connection, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()),
@@ -123,12 +154,39 @@
         return connection;
     }
 
-    std::unique_ptr<NodeProcess> process;
+    std::vector<std::unique_ptr<NodeProcess>> processes;
     int version = 1; ///< version of the configuration that was written last
 
 private:
+    void beat()
+    {
+        for (int sequence = 1; !this->isStopped; ++sequence) {
+            for (const auto &process : this->processes) {
+                this->heartbeat(*process, sequence);
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        }
+    }
+
+    bool waitForStatus(const NodeProcess &process, const std::string &text, core::Duration limit)
+    {
+        const auto deadline = core::steadyNow() + limit;
+        net::ClientRequest request;
+        request.url = "http://" + process.vm().metrics.toString() + "/status";
+        while (this->caller.call(request).body.find(text) == std::string::npos) {
+            if (core::steadyNow() > deadline) {
+                return false;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+        return true;
+    }
+
     net::LoopThread thread;
     std::unique_ptr<MetadataStore> store;
     HttpCaller caller;
+    HttpCaller beater;
+    std::thread heart;
+    std::atomic<bool> isStopped {false};
 };
 } // namespace figpulley::tests
