End a response of the store that is too large, and list instead

The client went on receiving what it threw away above 8 MB, kept up to 8 MB with three copies of its parts, and counted the store as lost, so that the node refused the queries of others.

Change: HttpClient::fetch() ends the exchange with the byte that exceeds its limit, or at once if the declared length does, and says so (ClientResult::isTooLarge). The adapter takes 4 MB and treats a larger answer as a history that is gone: the follower lists the collection, which has one version of each object. Of the events of one answer only the last of each object is copied, and a response that states the current era is passed on without a copy.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <chrono>
+#include <limits>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -50,6 +51,8 @@
         ClientCallbacks callbacks;
         ClientResponseHead head;
         std::size_t headBytes = 0; // size of all header lines received
+        std::size_t bodyBytes = 0; // size of the body received
+        std::size_t maxBodyBytes = std::numeric_limits<std::size_t>::max();
         std::string body;
         bool isHeadRequest = false;
         bool mayResend = true;
@@ -57,6 +60,7 @@
         bool isHeadDelivered = false;
         bool isChunked = false;
         bool isPaused = false;
+        bool isTooLarge = false;
         int sendCount = 0;
         core::Duration ackTimeout {};
         EventLoop::TimerId headTimer = EventLoop::noTimer;
@@ -177,6 +181,11 @@
     {
         auto &transfer = *static_cast<Transfer *>(context);
         deliverHead(transfer);
+        transfer.bodyBytes += size * count;
+        if (std::max(transfer.bodyBytes, transfer.head.length.value_or(0)) > transfer.maxBodyBytes) {
+            transfer.isTooLarge = true;
+            return 0; // ends the transfer
+        }
         const bool isConsuming = transfer.callbacks.onData(std::string_view(data, size * count));
         if (!isConsuming) {
             // The data passed was consumed; the pause applies to the data that follows.
@@ -244,6 +253,28 @@
         transfer->callbacks.onDone(result);
     }
 
+    TransferId start(const ClientRequest &request, ClientCallbacks callbacks, std::size_t maxBodyBytes)
+    {
+        auto transfer = std::make_unique<Transfer>();
+        transfer->id = TransferId {this->nextId++};
+        transfer->handle = this->acquireHandle();
+        transfer->callbacks = std::move(callbacks);
+        transfer->maxBodyBytes = maxBodyBytes;
+        transfer->isHeadRequest = request.method == "HEAD";
+        transfer->mayResend = request.mayResend;
+        setRequestOptions(*transfer, request);
+        setConnectionOptions(*transfer, request);
+        setCallbacks(*transfer);
+        if (request.headTimeout.count() > 0) {
+            this->scheduleHeadTimeout(*transfer, request.headTimeout);
+        }
+        const auto id = transfer->id;
+        auto *handle = transfer->handle;
+        this->transfers.emplace(static_cast<std::uint64_t>(id), std::move(transfer));
+        curl_multi_add_handle(this->multi, handle);
+        return id;
+    }
+
     // Ends a transfer whose response has not begun in time.
     void scheduleHeadTimeout(Transfer &transfer, core::Duration timeout)
     {
@@ -258,6 +289,9 @@
 
     static ClientResult resultOf(const Transfer &transfer, CURLcode code)
     {
+        if (transfer.isTooLarge) {
+            return {ErrorKind::AnswerShort, "the response body exceeds the size limit", false, true};
+        }
         // libcurl reports a head that the end of the connection cuts off as a complete response.
         if (code == CURLE_OK && !transfer.isHeadComplete) {
             return {ErrorKind::AnswerLost, "the connection ended in the head of the response"};
@@ -413,48 +447,23 @@
 
 TransferId HttpClient::send(const ClientRequest &request, ClientCallbacks callbacks)
 {
-    auto &self = *this->implementation;
-    auto transfer = std::make_unique<Implementation::Transfer>();
-    transfer->id = TransferId {self.nextId++};
-    transfer->handle = self.acquireHandle();
-    transfer->callbacks = std::move(callbacks);
-    transfer->isHeadRequest = request.method == "HEAD";
-    transfer->mayResend = request.mayResend;
-    Implementation::setRequestOptions(*transfer, request);
-    Implementation::setConnectionOptions(*transfer, request);
-    Implementation::setCallbacks(*transfer);
-    if (request.headTimeout.count() > 0) {
-        self.scheduleHeadTimeout(*transfer, request.headTimeout);
-    }
-    const auto id = transfer->id;
-    auto *handle = transfer->handle;
-    self.transfers.emplace(static_cast<std::uint64_t>(id), std::move(transfer));
-    curl_multi_add_handle(self.multi, handle);
-    return id;
+    return this->implementation->start(request, std::move(callbacks), std::numeric_limits<std::size_t>::max());
 }
 
 TransferId HttpClient::fetch(const ClientRequest &request, std::size_t maxBodyBytes, std::function<void(ClientResponse)> onDone)
 {
     auto response = std::make_shared<ClientResponse>();
-    auto isTooLarge = std::make_shared<bool>(false);
     ClientCallbacks callbacks;
     callbacks.onHead = [response](const ClientResponseHead &head) { response->head = head; };
-    callbacks.onData = [response, isTooLarge, maxBodyBytes](std::string_view data) {
-        if (response->body.size() + data.size() > maxBodyBytes) {
-            *isTooLarge = true;
-        } else {
-            response->body.append(data);
-        }
+    callbacks.onData = [response](std::string_view data) {
+        response->body.append(data);
         return true;
     };
-    callbacks.onDone = [response, isTooLarge, onDone = std::move(onDone)](const ClientResult &result) {
+    callbacks.onDone = [response, onDone = std::move(onDone)](const ClientResult &result) {
         response->result = result;
-        if (*isTooLarge && result.kind == ErrorKind::None) {
-            response->result = {ErrorKind::AnswerShort, "the response body exceeds the size limit"};
-        }
         onDone(std::move(*response));
     };
-    return this->send(request, std::move(callbacks));
+    return this->implementation->start(request, std::move(callbacks), maxBodyBytes);
 }
 
 void HttpClient::cancel(TransferId transfer)
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -21,7 +21,7 @@
     TransferId send(const ClientRequest &request, ClientCallbacks callbacks) override;
 
     /// Sends a request and collects the whole response.
-    /// @param maxBodyBytes a longer body is discarded, and the result is AnswerShort
+    /// @param maxBodyBytes a longer body ends the exchange at once with the result AnswerShort and `isTooLarge`
     TransferId fetch(const ClientRequest &request, std::size_t maxBodyBytes, std::function<void(ClientResponse)> onDone);
 
     void cancel(TransferId transfer) override;
--- a/src/net/httpsender.h
+++ b/src/net/httpsender.h
@@ -47,6 +47,7 @@
     core::ErrorKind kind = core::ErrorKind::None; ///< None if the complete response was received
     std::string detail; ///< description of the error
     bool isPeerUnreachable = false; ///< the exchange failed because the peer acknowledged nothing: disconnected, frozen or without power
+    bool isTooLarge = false; ///< HttpClient::fetch() has ended the exchange, as the body exceeds its limit
 };
 
 /// Callbacks that receive a response as it arrives.
--- a/src/platform/platformstore.cpp
+++ b/src/platform/platformstore.cpp
@@ -3,9 +3,13 @@
 #include "core/json.h"
 #include "core/log.h"
 #include "platform/names.h"
+#include "store/objectstore.h"
 
+#include <algorithm>
 #include <charconv>
 #include <chrono>
+#include <string>
+#include <unordered_set>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -26,7 +30,8 @@
 // Time beyond the requested wait after which a watch times out; a slow store needs about 250 ms.
 constexpr core::Duration watchMargin = 500ms;
 constexpr core::Duration acknowledgementTimeout = 2s; // a connection without TCP acknowledgements for this long is closed
-constexpr std::size_t maxResponseBytes = 8UL << 20U; // a page has at most 1 MB, and so has an object
+// A page has at most 1 MB, and so has an object. A watch that was cut off for long may get more, as it reports every version.
+constexpr std::size_t maxResponseBytes = 4 * store::maxValueBytes;
 constexpr int httpOk = 200;
 constexpr int httpCreated = 201;
 constexpr int httpNotFound = 404;
@@ -97,21 +102,29 @@
     return true;
 }
 
-// Reads the changes that a watch reports. One that cannot be read costs only itself.
+// Reads the changes that a watch reports, of each object only the last one. One that cannot be read costs only itself.
 bool readEvents(CollectionItems &items, std::string_view array)
 {
     const auto events = core::splitJsonArray(array);
     if (!events) {
         return false;
     }
-    for (const auto event : *events) {
-        if (auto item = readItem(memberOf(event, names::object))) {
-            item->isDeleted = memberOf(event, names::deleted) == "true";
+    std::unordered_set<std::string> readNames;
+    for (auto event = events->rbegin(); event != events->rend(); ++event) {
+        const auto object = memberOf(*event, names::object);
+        const auto name = readName(object);
+        if (name && readNames.contains(*name)) {
+            continue;
+        }
+        if (auto item = readItem(object)) {
+            item->isDeleted = memberOf(*event, names::deleted) == "true";
+            readNames.insert(item->name);
             items.items.push_back(std::move(*item));
         } else {
             ++items.unreadable;
         }
     }
+    std::reverse(items.items.begin(), items.items.end());
     return true;
 }
 
@@ -119,6 +132,12 @@
 {
     CollectionItems items;
     items.era = readEra(response);
+    if (response.result.isTooLarge) {
+        // Only a watch may get so much. A list brings the same state in pages, without the versions in between.
+        core::log(core::LogLevel::Info, "store.response_too_large", {{"declared_bytes", fmt::to_string(response.head.length.value_or(0))}});
+        items.kind = ErrorKind::HistoryGone;
+        return items;
+    }
     if (response.result.kind != ErrorKind::None || response.head.status != httpOk) {
         items.kind = response.head.status == httpGone && response.result.kind == ErrorKind::None ? ErrorKind::HistoryGone
                                                                                                  : ErrorKind::PlatformUnavailable;
--- a/src/store/eracheckedstore.cpp
+++ b/src/store/eracheckedstore.cpp
@@ -16,12 +16,17 @@
               {{"call", call}, {"era", fmt::to_string(era)}, {"current_era", fmt::to_string(current)}});
 }
 
-// Completes a response that states no era.
-template<class Response>
-Response withEra(Response response, std::uint64_t era)
+// Passes on a response of the current era. One that states no era is completed; any other is not copied, as it may be large.
+template<class Response, class Callback>
+void passOn(const Response &response, std::uint64_t era, const Callback &callback)
 {
-    response.era = era;
-    return response;
+    if (response.era == era) {
+        callback(response);
+        return;
+    }
+    auto completed = response;
+    completed.era = era;
+    callback(completed);
 }
 } // namespace
 
@@ -41,7 +46,7 @@
         if (token.expired()) {
             return;
         }
-        if (!this->tracker.deliver(response.era, [&] { callback(withEra(response, this->tracker.current())); })) {
+        if (!this->tracker.deliver(response.era, [&] { passOn(response, this->tracker.current(), callback); })) {
             logOutdated(call, response.era, this->tracker.current());
             callback(unavailableItems(this->tracker.current()));
         }
@@ -55,7 +60,7 @@
         if (token.expired()) {
             return;
         }
-        if (!this->tracker.deliver(response.era, [&] { callback(withEra(response, this->tracker.current())); })) {
+        if (!this->tracker.deliver(response.era, [&] { passOn(response, this->tracker.current(), callback); })) {
             logOutdated(call, response.era, this->tracker.current());
             callback({outdated, {}, this->tracker.current()});
         }
--- a/tests/memory_test.cpp
+++ b/tests/memory_test.cpp
@@ -221,3 +221,23 @@
     scripted.answer(101, "b", false);
     story.equal(scripted.watchedFrom, 101U, "the watch to follow the complete list");
 }
+
+// Guards against a node whose store answers its watch, after a silence, with every version in between: more than it can take.
+Test(memory, node_catches_up_with_a_store_that_was_silent)
+{
+    tests::Story story;
+    constexpr core::Duration catchUpLimit = 4s; // within which the users want a node to catch up
+    tests::LargeStateFleet fleet;
+    fleet.onStore([](tests::MetadataStore &store) { store.fault = tests::MetadataStore::Fault::Unresponsive; });
+    std::this_thread::sleep_for(1500ms); // a watch that was waiting before has ended, and the next one is not answered
+    constexpr int missed = 60;
+    fleet.onStore([&](tests::MetadataStore &store) {
+        for (int at = 0; at < missed; ++at) {
+            store.writeRaw("config", "main", tests::largeRoutes(++fleet.version));
+        }
+        store.fault = tests::MetadataStore::Fault::None;
+    });
+    story.check(fleet.reachesNewest(fleet.node(), catchUpLimit), "the newest state to be active in time");
+    story.check(fleet.node().peakMemory() < tests::smallestVmBytes,
+                fmt::format("the node within its memory, not {} bytes", fleet.node().peakMemory()));
+}
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -474,3 +474,35 @@
         story.check(core::steadyNow() - before < 3s, "the head's limit to apply");
     });
 }
+
+// Guards against a client that goes on receiving a response that it will not use.
+Test(net, fetch_ends_a_response_that_is_too_large)
+{
+    tests::Story story;
+    net::LoopThread thread;
+    auto client = thread.call([&] { return std::make_unique<net::HttpClient>(thread.loop()); });
+    const auto fetch = [&](const net::Address &from) {
+        std::promise<net::ClientResponse> done;
+        net::ClientRequest request;
+        request.url = "http://" + from.toString() + "/";
+        request.timeout = 10s;
+        thread.loop().post(
+            [&] { client->fetch(request, 100'000, [&](net::ClientResponse answer) { done.set_value(std::move(answer)); }); });
+        return done.get_future().get();
+    };
+    for (const std::string framing : {"Content-Length: 900000000", "Transfer-Encoding: chunked"}) {
+        story.section(framing, [&] {
+            tests::RawServer server([&](int, const std::string &) { return "HTTP/1.1 200 OK\r\nStore-Era: 4\r\n" + framing + "\r\n\r\n"; });
+            server.endlessPiece = "5\r\nabcde\r\n";
+            const auto response = fetch(server.address());
+            story.check(response.result.isTooLarge && response.result.kind == ErrorKind::AnswerShort, "the response to be given up");
+            story.check(response.body.size() <= 100'000, "no more to be kept than the limit");
+            story.equal(net::findHeader(response.head.headers, "Store-Era"), std::string("4"), "its head to be known");
+            for (int round = 0; round < 200 && !server.isClosedByClient; ++round) {
+                std::this_thread::sleep_for(10ms);
+            }
+            story.check(server.isClosedByClient, "the connection to be closed");
+        });
+    }
+    thread.call([&] { client.reset(); });
+}
