--- a/src/mesh/inboundproxy.cpp
+++ b/src/mesh/inboundproxy.cpp
@@ -451,7 +451,7 @@
 {
     const auto &request = exchange->request();
     if (const auto selection = net::findHeader(request.headers, SnapshotExchange::header); !selection.empty()) {
-        exchange->respond({httpOk, {{"Content-Type", "application/json"}}, this->snapshots.snapshot(selection)});
+        this->snapshots.accept(selection, *exchange);
         return;
     }
     if (!net::findHeader(request.headers, ChangeRelay::header).empty()) {
--- a/src/mesh/snapshotexchange.cpp
+++ b/src/mesh/snapshotexchange.cpp
@@ -4,7 +4,9 @@
 #include "core/log.h"
 #include "mesh/meshboard.h"
 #include "mesh/meshsettings.h"
+#include "store/objectstore.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -17,9 +19,15 @@
 {
 using namespace std::chrono_literals;
 
-constexpr core::Duration fetchTimeout = 500ms; // shorter than the time in which a change has to be active
-constexpr std::size_t maxSnapshotBytes = 8UL << 20U;
+constexpr core::Duration headTimeout = 500ms; // shorter than the time in which a change has to be active
+constexpr core::Duration fetchTimeout = 1500ms; // a large configuration goes to many nodes at once
+// Names and contents of a page may be escaped with up to six bytes each.
+constexpr std::size_t maxSnapshotBytes = 8 * store::maxValueBytes;
+constexpr std::size_t maxRecordsBytes = store::maxValueBytes; // of the records in one snapshot; the next one goes on with the others
+constexpr core::Duration maxAge = 500ms; // for which an answer that is being written is sent to others as well
+constexpr core::Duration stallTimeout = 2s; // longer than the sender of a request waits
 constexpr int httpOk = 200;
+constexpr int httpServiceUnavailable = 503;
 const std::string allRecords = "1";
 } // namespace
 
@@ -49,6 +57,7 @@
     net::ClientRequest request;
     request.url = fmt::format("http://{}/", node);
     request.headers.push_back({header, selection});
+    request.headTimeout = headTimeout;
     request.timeout = fetchTimeout;
     this->context.client.fetch(
         request, maxSnapshotBytes,
@@ -59,23 +68,49 @@
         });
 }
 
-std::string SnapshotExchange::snapshot(std::string_view selection) const
+void SnapshotExchange::accept(std::string_view selection, net::HttpExchange &exchange)
 {
-    auto endpoints = nlohmann::json::array();
-    const auto add = [&endpoints](const discovery::KnownEndpoint &known) {
-        endpoints.push_back(
-            {{"era", known.position.era}, {"revision", known.position.revision}, {"record", discovery::encode(known.record)}});
+    const auto now = core::steadyNow();
+    const bool isOfAll = selection == allRecords;
+    auto text = isOfAll ? this->latestText.lock() : nullptr;
+    if (!text || this->latestVersion != this->config.version() || now - this->latestMadeAt > maxAge) {
+        if (this->context.answers.isFull()) {
+            // The sender asks again with the next request that shows a newer version.
+            core::log(core::LogLevel::Warning, "snapshot.refused", {{"answer_bytes", fmt::to_string(this->context.answers.bytes())}});
+            exchange.respond({httpServiceUnavailable, {}, {}});
+            return;
+        }
+        text = this->context.answers.add(this->snapshot(selection));
+    }
+    if (isOfAll) {
+        this->latestMadeAt = this->latestText.lock() == text ? this->latestMadeAt : now;
+        this->latestText = text;
+        this->latestVersion = this->config.version();
+    }
+    exchange.respond({httpOk, {{"Content-Type", "application/json"}}, {}, std::move(text), stallTimeout});
+}
+
+// Encodes the text part by part, so that no document beside it holds a further copy.
+std::string SnapshotExchange::snapshot(std::string_view selection)
+{
+    const auto encode = [](const nlohmann::json &value) { return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace); };
+    std::string text = R"({"config":)" + encode(this->context.board.config.read().source) + R"(,"endpoints":[)";
+    const auto recordsBegin = text.size();
+    const auto add = [&](const discovery::KnownEndpoint &known) {
+        text += text.size() == recordsBegin ? "" : ",";
+        text += encode({{"era", known.position.era}, {"revision", known.position.revision}, {"record", discovery::encode(known.record)}});
     };
     const auto &directory = this->context.board.directory.read();
     if (const auto *selected = directory.find(selection)) {
         add(*selected);
     } else if (selection == allRecords) {
-        for (const auto *known : directory.allEndpoints()) {
-            add(*known);
+        const auto records = directory.allEndpoints();
+        for (std::size_t sent = 0; sent < records.size() && text.size() - recordsBegin < maxRecordsBytes; ++sent) {
+            add(*records[this->nextRecord++ % records.size()]);
         }
+        this->nextRecord %= std::max<std::size_t>(1, records.size());
     }
-    return nlohmann::json {{"config", this->context.board.config.read().source}, {"endpoints", std::move(endpoints)}}.dump(
-        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return text + "]}";
 }
 
 bool SnapshotExchange::handleSnapshot(const std::string &node, const net::ClientResponse &response)
--- a/src/mesh/snapshotexchange.h
+++ b/src/mesh/snapshotexchange.h
@@ -1,8 +1,12 @@
 #pragma once
 
+#include "mesh/answerpool.h"
 #include "mesh/meshcontext.h"
 #include "mesh/updaters.h"
+#include "net/httpexchange.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -26,21 +30,26 @@
     /// @param onDone called when the answer was applied or the call has failed; receives whether the peer has sent a configuration
     void fetchOwn(const std::string &node, std::function<void(bool)> onDone);
 
-    /// Returns this node's configuration and directory as JSON.
+    /// Answers a request for this node's configuration and directory; refuses it while the texts of earlier answers fill the pool.
     /// @param selection value of the request's header: "1" for all records, or ip:port of the only node whose record is wanted
-    [[nodiscard]] std::string snapshot(std::string_view selection) const;
+    void accept(std::string_view selection, net::HttpExchange &exchange);
 
     /// Header that marks a request to a node's ingress as a request for a snapshot.
     static constexpr const char *header = "Figpulley-Snapshot";
 
 private:
     void fetch(const std::string &node, const std::string &selection, std::function<void(bool)> onDone);
+    [[nodiscard]] std::string snapshot(std::string_view selection);
     /// @returns whether the snapshot contains a configuration
     bool handleSnapshot(const std::string &node, const net::ClientResponse &response);
 
     MeshContext context;
     ConfigUpdater &config;
     DirectoryUpdater &directory;
+    std::weak_ptr<const std::string> latestText; // latest snapshot of all records, as long as a connection writes it
+    std::uint64_t latestVersion = 0; // version of its configuration
+    core::TimePoint latestMadeAt {};
+    std::size_t nextRecord = 0; // position in the directory of the first record of the next snapshot
     bool isFetching = false;
     std::shared_ptr<bool> lifetimeToken = std::make_shared<bool>(true); // expires with this object; a fetch may end later
 };
--- a/tests/memory_test.cpp
+++ b/tests/memory_test.cpp
@@ -4,6 +4,7 @@
 
 #include "mesh/collectionfollower.h"
 #include "mesh/localregistrar.h"
+#include "mesh/snapshotexchange.h"
 
 #include <algorithm>
 #include <chrono>
@@ -241,3 +242,26 @@
     story.check(fleet.node().peakMemory() < tests::smallestVmBytes,
                 fmt::format("the node within its memory, not {} bytes", fleet.node().peakMemory()));
 }
+
+// Guards against nodes that each get a copy of their own of a large configuration, as all those that a change has reached late ask at once.
+Test(memory, snapshots_for_many_nodes_at_once_take_bounded_memory)
+{
+    tests::Story story;
+    tests::LargeStateFleet fleet;
+    fleet.change(1);
+    std::vector<int> connections;
+    for (int at = 0; at < 200; ++at) {
+        connections.push_back(fleet.askWithoutReading(
+            fmt::format("{}: {}\r\n", mesh::SnapshotExchange::header, at % 2 == 0 ? "1" : fmt::format("127.0.0.1:{}", at))));
+    }
+    std::this_thread::sleep_for(3s);
+    net::ClientRequest request;
+    request.headers = {{mesh::SnapshotExchange::header, "1"}};
+    request.url = "http://" + fleet.node().vm().ingress.toString() + "/";
+    tests::HttpCaller caller;
+    const auto response = caller.call(request);
+    story.check(response.head.status == 200 && response.body.size() > 1'000'000, "one that reads to get its snapshot");
+    closeAll(connections);
+    story.check(fleet.node().isRunning() && fleet.node().peakMemory() < tests::smallestVmBytes,
+                fmt::format("the node within its memory, not {} bytes", fleet.node().peakMemory()));
+}
