Let requests in flight hold their route and not the whole table

With a change each 0.08 s and requests of some seconds, as many versions of all routes stayed in memory as changes fall into the longest request.

Change: RouteTable::match() returns the route alone, which does not keep its table.

Evidence: routing/request_in_flight_holds_its_route_and_not_the_whole_table does not compile against the former interface, whose match() returned a pointer into the table.

--- a/src/mesh/endpointprobe.cpp
+++ b/src/mesh/endpointprobe.cpp
@@ -54,7 +54,7 @@
     // The path of the health check is part of the configuration, which may not be known yet.
     const auto &table = this->context.board.config.read().table;
     if (table && !this->isAsking) {
-        const auto &services = table->routes().services;
+        const auto &services = table->services();
         const auto service = services.find(this->context.settings.service);
         if (service != services.end() && !service->second.healthPath.empty()) {
             this->ask(service->second.healthPath);
--- a/src/mesh/outboundproxy.cpp
+++ b/src/mesh/outboundproxy.cpp
@@ -96,12 +96,13 @@
             this->refuse(ErrorKind::Stopping, noEndpointRetryAfter);
             return;
         }
-        this->routeTable = context.board.config.read().table;
-        if (!this->routeTable) {
+        const auto &routeTable = context.board.config.read().table;
+        if (!routeTable) {
             this->refuse(ErrorKind::ConfigurationMissing, noEndpointRetryAfter);
             return;
         }
-        this->route = this->routeTable->match(net::findHeader(request.headers, "Host"), request.path);
+        this->configVersion = routeTable->version();
+        this->route = routeTable->match(net::findHeader(request.headers, "Host"), request.path);
         if (this->route == nullptr) {
             this->refuse(ErrorKind::NoRoute, {});
             return;
@@ -188,7 +189,7 @@
         head.remaining = this->deadline - now - hopMargin;
         // A running request fails if any of its nested calls fails, so a nested call may use all the time up to its deadline.
         head.objectiveLeft = this->chain.isNested ? head.remaining : this->target - now;
-        head.configVersion = this->routeTable->version();
+        head.configVersion = this->configVersion;
         this->sendAttempt(head, *endpoint);
     }
 
@@ -387,7 +388,7 @@
                    {"spent_before_ms", fmt::to_string(core::toMilliseconds(this->spentBefore))},
                    {"after_ms", fmt::to_string(core::toMilliseconds(core::steadyNow() - this->arrived))},
                    {"retry_after_ms", fmt::to_string(core::toMilliseconds(retryAfter))},
-                   {"config_version", fmt::to_string(this->routeTable ? this->routeTable->version() : 0)},
+                   {"config_version", fmt::to_string(this->configVersion)},
                    {"left_out", fmt::to_string(*omittedLines)}});
     }
 
@@ -408,8 +409,8 @@
     std::shared_ptr<node::ResponseRelay> relay;
     routing::ChainContext chain;
     AttemptPlan plan;
-    routing::RouteTablePtr routeTable; // owns the route
-    const routing::Route *route = nullptr;
+    routing::RoutePtr route; // null if none matches
+    std::uint64_t configVersion = 0; // version of the configuration that the route is of
     std::string requestId;
     std::string service;
     std::string node; // node of the latest attempt
--- a/src/mesh/updaters.cpp
+++ b/src/mesh/updaters.cpp
@@ -28,7 +28,7 @@
     return node;
 }
 
-ConfigUpdater::ConfigUpdater(MeshBoard &board, const WireFormat &wire, std::function<void(const routing::RouteSet &)> onActivated)
+ConfigUpdater::ConfigUpdater(MeshBoard &board, const WireFormat &wire, std::function<void(const routing::ClientLimits &)> onActivated)
     : board(board)
     , wire(wire)
     , onActivated(std::move(onActivated))
@@ -66,8 +66,8 @@
               {{"version", fmt::to_string(this->version())},
                {"earlier", fmt::to_string(activeVersion)},
                {"origin", std::string(origin)},
-               {"routes", fmt::to_string(config.table->routes().routes.size())}});
-    this->onActivated(config.table->routes());
+               {"routes", fmt::to_string(config.table->size())}});
+    this->onActivated(config.table->limits());
     return true;
 }
 
--- a/src/routing/routetable.cpp
+++ b/src/routing/routetable.cpp
@@ -16,39 +16,49 @@
 } // namespace
 
 RouteTable::RouteTable(RouteSet routes)
-    : set(std::move(routes))
+    : setVersion(routes.version)
+    , routeCount(routes.routes.size())
+    , routedServices(std::move(routes.services))
+    , clientLimits(routes.limits)
 {
-    for (std::size_t at = 0; at < this->set.routes.size(); ++at) {
-        this->byHost[normalizedHost(this->set.routes[at].host)].push_back(at);
+    for (auto &route : routes.routes) {
+        this->byHost[normalizedHost(route.host)].push_back(std::make_shared<const Route>(std::move(route)));
     }
-    for (auto &[host, positions] : this->byHost) {
-        std::stable_sort(positions.begin(), positions.end(), [this](std::size_t left, std::size_t right) {
-            return this->set.routes[left].prefix.size() > this->set.routes[right].prefix.size();
-        });
+    for (auto &[host, hostRoutes] : this->byHost) {
+        std::stable_sort(hostRoutes.begin(), hostRoutes.end(),
+                         [](const RoutePtr &left, const RoutePtr &right) { return left->prefix.size() > right->prefix.size(); });
     }
 }
 
-const Route *RouteTable::match(std::string_view host, std::string_view path) const
+RoutePtr RouteTable::match(std::string_view host, std::string_view path) const
 {
     const auto found = this->byHost.find(normalizedHost(host));
     if (found == this->byHost.end()) {
         return nullptr;
     }
-    for (const auto at : found->second) {
-        if (path.starts_with(this->set.routes[at].prefix)) {
-            return &this->set.routes[at];
-        }
-    }
-    return nullptr;
+    const auto &hostRoutes = found->second;
+    const auto match =
+        std::find_if(hostRoutes.begin(), hostRoutes.end(), [path](const RoutePtr &route) { return path.starts_with(route->prefix); });
+    return match == hostRoutes.end() ? nullptr : *match;
+}
+
+const std::map<std::string, RoutedService> &RouteTable::services() const noexcept
+{
+    return this->routedServices;
+}
+
+const ClientLimits &RouteTable::limits() const noexcept
+{
+    return this->clientLimits;
 }
 
-const RouteSet &RouteTable::routes() const noexcept
+std::size_t RouteTable::size() const noexcept
 {
-    return this->set;
+    return this->routeCount;
 }
 
 std::uint64_t RouteTable::version() const noexcept
 {
-    return this->set.version;
+    return this->setVersion;
 }
 } // namespace figpulley::routing
--- a/src/routing/routetable.h
+++ b/src/routing/routetable.h
@@ -2,6 +2,9 @@
 
 #include "routing/routeset.h"
 
+#include <cstddef>
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -10,6 +13,9 @@
 
 namespace figpulley::routing
 {
+/// A route that a request keeps while it is in flight.
+using RoutePtr = std::shared_ptr<const Route>;
+
 /// Finds the route of a request: the one with the longest matching path prefix among the routes of its host.
 class RouteTable
 {
@@ -19,18 +25,27 @@
 
     /// @param host value of the `Host` header; the port and the case are ignored
     /// @param path path of the request without the query
-    /// @returns null if no route matches
-    [[nodiscard]] const Route *match(std::string_view host, std::string_view path) const;
+    /// @returns null if no route matches. The route does not keep the table: requests in flight would otherwise hold all routes of every
+    /// version under which one of them has arrived
+    [[nodiscard]] RoutePtr match(std::string_view host, std::string_view path) const;
+
+    [[nodiscard]] const std::map<std::string, RoutedService> &services() const noexcept;
+
+    [[nodiscard]] const ClientLimits &limits() const noexcept;
 
-    [[nodiscard]] const RouteSet &routes() const noexcept;
+    /// Returns the number of routes.
+    [[nodiscard]] std::size_t size() const noexcept;
 
     [[nodiscard]] std::uint64_t version() const noexcept;
 
 private:
-    RouteSet set;
-    std::unordered_map<std::string, std::vector<std::size_t>> byHost; // positions in set.routes by host, longest prefix first
+    std::uint64_t setVersion = 0;
+    std::size_t routeCount = 0;
+    std::unordered_map<std::string, std::vector<RoutePtr>> byHost; // longest prefix first
+    std::map<std::string, RoutedService> routedServices;
+    ClientLimits clientLimits;
 };
 
-/// The active routing table, shared with the requests that were matched against it.
+/// The active routing table.
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
 } // namespace figpulley::routing
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <map>
+#include <memory>
 
 using namespace figpulley;
 using namespace std::chrono_literals;
@@ -56,7 +57,7 @@
                   routeTo("shallow", "a.example", "/x/", {{"bordure", 1}})};
     const routing::RouteTable table(set);
     const auto nameOf = [&](const char *host, const char *path) {
-        const auto *route = table.match(host, path);
+        const auto route = table.match(host, path);
         return route == nullptr ? std::string("none") : route->name;
     };
     story.equal(nameOf("a.example", "/x/y/z"), std::string("deep"), "the route with the longest matching prefix");
@@ -343,3 +344,24 @@
         story.equal(attempts, 4, "four attempts before the client is told to retry later");
     });
 }
+
+// Guards against requests in flight that hold all routes of every version of a large configuration under which one of them has arrived.
+Test(routing, request_in_flight_holds_its_route_and_not_the_whole_table)
+{
+    tests::Story story;
+    routing::RouteSet set;
+    for (int number = 0; number < 1000; ++number) {
+        routing::Route route;
+        route.host = "a.example";
+        route.prefix = "/path-" + std::to_string(number) + "/";
+        route.name = "r-" + std::to_string(number);
+        set.routes.push_back(route);
+    }
+    auto table = std::make_shared<const routing::RouteTable>(set);
+    const auto held = table->match("a.example", "/path-7/x");
+    const std::weak_ptr<const routing::Route> other = table->match("a.example", "/path-8/x");
+    const std::weak_ptr<const routing::RouteTable> replaced = table;
+    table.reset();
+    story.check(replaced.expired() && other.expired(), "the replaced table and its other routes to be released");
+    story.equal(held->name, std::string("r-7"), "the route of the request to stay");
+}
