Fail a response with an invalid status at once

Callers saw: a request whose endpoint answered with status 000, 001, 099 or an unasked 101 was held until its timeout and answered 504, and the endpoint's slot with it.

Cause: both HTTP clients took every status below 200 for an interim response and went on reading. libcurl hands a 101 over as final.

Change: isInterimStatus() and isFinalStatus() (net/responsestatus.h) serve both clients. An interim status is 100 to 199 without 101. Any other status below 200 ends the exchange as invalid HTTP does, before a byte of its content is parsed, and closes the connection. The same clients send health checks, calls to the store and to other nodes.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "net/httpclient.h"
 
+#include "net/responsestatus.h"
+
 #include <algorithm>
 #include <charconv>
 #include <chrono>
@@ -29,7 +31,6 @@
 constexpr std::size_t maxHeadBytes = 64UL * 1024UL;
 constexpr int httpNoContent = 204;
 constexpr int httpNotModified = 304;
-constexpr int httpMinFinalStatus = 200;
 
 struct GlobalCurl
 {
@@ -61,6 +62,7 @@
         bool isChunked = false;
         bool isPaused = false;
         bool isTooLarge = false;
+        bool hasInvalidStatus = false; // the status is neither a final nor an interim one
         int sendCount = 0;
         core::Duration ackTimeout {};
         EventLoop::TimerId headTimer = EventLoop::noTimer;
@@ -161,7 +163,7 @@
     }
 
     // Handles a line of the head that is no header. The empty line ends the head, before any of the body is delivered.
-    // Returns false if the response is rejected, which only a final one can be.
+    // Returns false if the response is rejected or has an invalid status.
     static bool handleHeadLine(Transfer &transfer, std::string_view line)
     {
         if (line != "\r\n" && line != "\n") {
@@ -169,9 +171,13 @@
         }
         long status = 0;
         curl_easy_getinfo(transfer.handle, CURLINFO_RESPONSE_CODE, &status);
-        if (status < httpMinFinalStatus) {
+        if (isInterimStatus(static_cast<int>(status))) {
             return true;
         }
+        if (!isFinalStatus(static_cast<int>(status))) {
+            transfer.hasInvalidStatus = true;
+            return false;
+        }
         transfer.isHeadComplete = true;
         transfer.head.status = static_cast<int>(status);
         return !transfer.callbacks.isAcceptable || transfer.callbacks.isAcceptable(transfer.head);
@@ -289,6 +295,9 @@
 
     static ClientResult resultOf(const Transfer &transfer, CURLcode code)
     {
+        if (transfer.hasInvalidStatus) {
+            return {ErrorKind::AnswerLost, "the response has an invalid status"};
+        }
         if (transfer.isTooLarge) {
             return {ErrorKind::AnswerShort, "the response body exceeds the size limit", false, true};
         }
@@ -317,8 +326,7 @@
     static bool declaresBodyEnd(const Transfer &transfer)
     {
         const auto status = transfer.head.status;
-        const bool hasNoBody =
-            transfer.isHeadRequest || status == httpNoContent || status == httpNotModified || status < httpMinFinalStatus;
+        const bool hasNoBody = transfer.isHeadRequest || status == httpNoContent || status == httpNotModified;
         return hasNoBody || transfer.head.length.has_value() || transfer.isChunked;
     }
 
--- a/src/net/relayclient.cpp
+++ b/src/net/relayclient.cpp
@@ -2,6 +2,7 @@
 
 #include "net/address.h"
 #include "net/messageparser.h"
+#include "net/responsestatus.h"
 #include "net/socket.h"
 
 #include <algorithm>
@@ -29,7 +30,6 @@
 constexpr std::size_t maxIdlePerAddress = 256;
 // Applies to the heads of interim and final responses together, to a chunk's header and to the trailer.
 constexpr std::uint32_t maxHeaderBytes = 64U * 1024U;
-constexpr int httpMinFinalStatus = 200;
 constexpr std::string_view scheme = "http://";
 
 // Splits a URL of the form http://ip:port/path into the address and the request target.
@@ -323,7 +323,12 @@
             this->parser->put(boost::asio::const_buffer(this->input.data() + parsedBytes, this->input.size() - parsedBytes), error);
         parsedBytes += parsedNow;
         this->isMoreNeeded = error == boost::beast::http::error::need_more;
-        const bool isFinalHead = this->parser->is_header_done() && this->parser->status >= httpMinFinalStatus;
+        if (this->parser->is_header_done() && !isFinalStatus(this->parser->status) && !isInterimStatus(this->parser->status)) {
+            this->isReusable = false;
+            this->finish(ErrorKind::AnswerLost, fmt::format("the response has the invalid status {:03}", this->parser->status));
+            return false;
+        }
+        const bool isFinalHead = this->parser->is_header_done() && isFinalStatus(this->parser->status);
         // A parser that has parsed a whole message must not be called again, so a rejection ends the exchange before the next call.
         if (isFinalHead && !this->processHead()) {
             this->isReusable = false;
@@ -336,7 +341,7 @@
                          "the response is not valid HTTP: " + error.message());
             return false;
         }
-        if (this->parser->is_header_done() && this->parser->status < httpMinFinalStatus) {
+        if (this->parser->is_header_done() && !isFinalHead) {
             this->startParser();
             continue;
         }
--- a/tests/support/rawserver.h
+++ b/tests/support/rawserver.h
@@ -65,6 +65,7 @@
     /// Bytes that follow each response without end, until the client closes the connection. Must be set before the first request.
     std::string endlessPiece;
 
+    std::atomic<int> connections {0}; ///< number of connections accepted
     std::atomic<int> requests {0};
     std::atomic<std::size_t> endlessBytes {0}; ///< number of bytes sent after responses
     std::atomic<bool> isClosedByClient {false}; ///< whether the client has closed a connection that received bytes without end
@@ -78,6 +79,7 @@
                 continue;
             }
             const int connection = accept(this->listener, nullptr, nullptr);
+            ++this->connections;
             this->serve(connection);
             if (this->isResettingConnections) {
                 std::this_thread::sleep_for(std::chrono::milliseconds(50)); // the client reads the response first
