Forget the state and metrics of routes that were removed

Change: with each configuration, when more than 500 names beyond its routes are known, what it does not have is forgotten.

--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -68,7 +68,7 @@
                this->metrics,
                this->answers,
                this->sampler}
-    , configUpdater(this->boardSections, wire, [this](const routing::ClientLimits &limits) { this->outbound->setClientLimits(limits); })
+    , configUpdater(this->boardSections, wire, [this](const routing::RouteTable &routes) { this->outbound->applyConfiguration(routes); })
     , directoryUpdater(this->boardSections)
     , snapshots(this->context, this->configUpdater, this->directoryUpdater)
     , peerInquiry(
--- a/src/mesh/outboundproxy.cpp
+++ b/src/mesh/outboundproxy.cpp
@@ -36,6 +36,7 @@
 constexpr core::Duration stopRefusalDelay = 3s; // two readiness checks 1 s apart have failed by then
 constexpr core::Duration streamTimeoutMargin = 300ms; // time after its deadline in which a streamed response may still end
 constexpr core::Duration noEndpointRetryAfter = 300ms;
+constexpr std::size_t maxRemovedRoutes = 500; // for which state is kept; some 2 KB each with their metrics
 constexpr int httpInternalError = 500;
 
 AttemptOutcome attemptOutcomeFor(ErrorKind kind)
@@ -450,6 +451,25 @@
     this->server->setLimits(changed);
 }
 
+void OutboundProxy::applyConfiguration(const routing::RouteTable &routes)
+{
+    this->setClientLimits(routes.limits());
+    this->forgetRemovedRoutes(routes);
+}
+
+// Successive configurations add routes under new names. Some removed ones are kept, as it takes time to compare all names.
+void OutboundProxy::forgetRemovedRoutes(const routing::RouteTable &routes)
+{
+    const auto known = std::max({this->splits.size(), this->timeoutHistory.size(), this->context.metrics.countedRoutes()});
+    if (known <= routes.size() + maxRemovedRoutes) {
+        return;
+    }
+    const auto names = routes.names();
+    this->splits.retain(names);
+    this->timeoutHistory.retain(names);
+    this->context.metrics.retainRoutes(names);
+}
+
 void OutboundProxy::setRetryBudget(const routing::RetryBudgetRules &rules)
 {
     this->retryBudget.setRules(rules);
--- a/src/mesh/outboundproxy.h
+++ b/src/mesh/outboundproxy.h
@@ -26,8 +26,8 @@
     OutboundProxy(const OutboundProxy &) = delete;
     OutboundProxy &operator=(const OutboundProxy &) = delete;
 
-    /// Sets the limits of client requests, also for open connections.
-    void setClientLimits(const routing::ClientLimits &limits);
+    /// Applies the client limits of a configuration, and forgets what is known of routes that it does not have.
+    void applyConfiguration(const routing::RouteTable &routes);
 
     void setRetryBudget(const routing::RetryBudgetRules &rules);
 
@@ -47,6 +47,8 @@
     class Call;
 
     void accept(std::shared_ptr<net::HttpExchange> exchange);
+    void setClientLimits(const routing::ClientLimits &limits);
+    void forgetRemovedRoutes(const routing::RouteTable &routes);
 
     MeshContext context;
     SnapshotExchange &snapshots;
--- a/src/mesh/updaters.cpp
+++ b/src/mesh/updaters.cpp
@@ -28,7 +28,7 @@
     return node;
 }
 
-ConfigUpdater::ConfigUpdater(MeshBoard &board, const WireFormat &wire, std::function<void(const routing::ClientLimits &)> onActivated)
+ConfigUpdater::ConfigUpdater(MeshBoard &board, const WireFormat &wire, std::function<void(const routing::RouteTable &)> onActivated)
     : board(board)
     , wire(wire)
     , onActivated(std::move(onActivated))
@@ -67,7 +67,7 @@
                {"earlier", fmt::to_string(activeVersion)},
                {"origin", std::string(origin)},
                {"routes", fmt::to_string(config.table->size())}});
-    this->onActivated(config.table->limits());
+    this->onActivated(*config.table);
     return true;
 }
 
--- a/src/mesh/updaters.h
+++ b/src/mesh/updaters.h
@@ -16,8 +16,8 @@
 class ConfigUpdater
 {
 public:
-    /// @param onActivated called with the client limits of each configuration when it becomes active
-    ConfigUpdater(MeshBoard &board, const WireFormat &wire, std::function<void(const routing::ClientLimits &)> onActivated);
+    /// @param onActivated called with each configuration when it becomes active
+    ConfigUpdater(MeshBoard &board, const WireFormat &wire, std::function<void(const routing::RouteTable &)> onActivated);
 
     /// Activates a configuration from the store or from a peer if it is valid and newer than the active one.
     /// @param origin source of the text, for the log
@@ -29,7 +29,7 @@
 private:
     MeshBoard &board;
     const WireFormat &wire;
-    std::function<void(const routing::ClientLimits &)> onActivated;
+    std::function<void(const routing::RouteTable &)> onActivated;
 };
 
 /// Maintains the directory of endpoints.
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -8,6 +8,9 @@
 
 #include <fmt/format.h>
 
+#include <unordered_map>
+#include <unordered_set>
+
 namespace figpulley::node
 {
 namespace
@@ -49,6 +52,13 @@
     Family<Counter> &storeReads =
         counterFamily(*this->registry, "figpulley_store_reads_total", "Lists and watches that were sent to the platform's store");
     std::map<std::string, Gauge *, std::less<>> gauges;
+
+    struct RouteSeries
+    {
+        std::unordered_set<Counter *> calls;
+        std::unordered_set<Histogram *> callSeconds;
+    };
+    std::unordered_map<std::string, RouteSeries> seriesByRoute;
 };
 
 NodeMetrics::NodeMetrics()
@@ -62,11 +72,36 @@
                             int status, core::Duration latency)
 {
     const std::string kindName(core::errorProperties(kind).name);
-    this->implementation->calls
-        .Add({{"service", service}, {"route", route}, {"priority", priority}, {"kind", kindName}, {"code", fmt::to_string(status)}})
-        .Increment();
-    this->implementation->callSeconds.Add({{"service", service}, {"route", route}}, latencyBucketsSeconds)
-        .Observe(core::toSeconds(latency));
+    auto &counter = this->implementation->calls.Add(
+        {{"service", service}, {"route", route}, {"priority", priority}, {"kind", kindName}, {"code", fmt::to_string(status)}});
+    counter.Increment();
+    auto &seconds = this->implementation->callSeconds.Add({{"service", service}, {"route", route}}, latencyBucketsSeconds);
+    seconds.Observe(core::toSeconds(latency));
+    auto &series = this->implementation->seriesByRoute[route];
+    series.calls.insert(&counter);
+    series.callSeconds.insert(&seconds);
+}
+
+void NodeMetrics::retainRoutes(const std::unordered_set<std::string> &routes)
+{
+    std::erase_if(this->implementation->seriesByRoute, [&](const auto &entry) {
+        const auto &[route, series] = entry;
+        if (route.empty() || routes.contains(route)) {
+            return false;
+        }
+        for (auto *counter : series.calls) {
+            this->implementation->calls.Remove(counter);
+        }
+        for (auto *histogram : series.callSeconds) {
+            this->implementation->callSeconds.Remove(histogram);
+        }
+        return true;
+    });
+}
+
+std::size_t NodeMetrics::countedRoutes() const noexcept
+{
+    return this->implementation->seriesByRoute.size();
 }
 
 void NodeMetrics::countAttempt(const std::string &service, bool isRetry)
--- a/src/node/nodemetrics.h
+++ b/src/node/nodemetrics.h
@@ -3,10 +3,12 @@
 #include "core/envelope.h"
 #include "core/time.h"
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 
 namespace prometheus
 {
@@ -40,6 +42,12 @@
     void countCall(const std::string &service, const std::string &route, const std::string &priority, core::ErrorKind kind, int status,
                    core::Duration latency);
 
+    /// Removes the series of routes that are no longer configured; those of calls without a route stay.
+    void retainRoutes(const std::unordered_set<std::string> &routes);
+
+    /// Returns the number of routes that have series.
+    [[nodiscard]] std::size_t countedRoutes() const noexcept;
+
     /// Counts an attempt sent to an endpoint.
     void countAttempt(const std::string &service, bool isRetry);
 
--- a/src/routing/clienttimeouthistory.cpp
+++ b/src/routing/clienttimeouthistory.cpp
@@ -25,4 +25,14 @@
     const auto elapsed = std::max(maxTimeouts.current, maxTimeouts.previous) - remainingTimeout;
     return elapsed > latencyTolerance ? elapsed : core::Duration {};
 }
+
+void ClientTimeoutHistory::retain(const std::unordered_set<std::string> &configured)
+{
+    std::erase_if(this->routes, [&configured](const auto &entry) { return !configured.contains(entry.first); });
+}
+
+std::size_t ClientTimeoutHistory::size() const noexcept
+{
+    return this->routes.size();
+}
 } // namespace figpulley::routing
--- a/src/routing/clienttimeouthistory.h
+++ b/src/routing/clienttimeouthistory.h
@@ -2,8 +2,10 @@
 
 #include "core/time.h"
 
+#include <cstddef>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace figpulley::routing
 {
@@ -17,6 +19,12 @@
     /// @returns time that the client has spent on earlier attempts; zero for a first attempt
     [[nodiscard]] core::Duration estimateTimeSpent(const std::string &route, core::Duration remainingTimeout, core::TimePoint now);
 
+    /// Forgets routes that are no longer configured.
+    void retain(const std::unordered_set<std::string> &configured);
+
+    /// Returns the number of routes whose timeouts are kept.
+    [[nodiscard]] std::size_t size() const noexcept;
+
 private:
     struct MaxTimeouts
     {
--- a/src/routing/routetable.cpp
+++ b/src/routing/routetable.cpp
@@ -57,6 +57,17 @@
     return this->routeCount;
 }
 
+std::unordered_set<std::string> RouteTable::names() const
+{
+    std::unordered_set<std::string> names;
+    for (const auto &[host, hostRoutes] : this->byHost) {
+        for (const auto &route : hostRoutes) {
+            names.insert(route->name);
+        }
+    }
+    return names;
+}
+
 std::uint64_t RouteTable::version() const noexcept
 {
     return this->setVersion;
--- a/src/routing/routetable.h
+++ b/src/routing/routetable.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace figpulley::routing
@@ -36,6 +37,9 @@
     /// Returns the number of routes.
     [[nodiscard]] std::size_t size() const noexcept;
 
+    /// Returns the names of all routes.
+    [[nodiscard]] std::unordered_set<std::string> names() const;
+
     [[nodiscard]] std::uint64_t version() const noexcept;
 
 private:
--- a/src/routing/splitpicker.cpp
+++ b/src/routing/splitpicker.cpp
@@ -27,4 +27,14 @@
     *best -= total;
     return route.split[static_cast<std::size_t>(best - state.credits.begin())].service;
 }
+
+void SplitPicker::retain(const std::unordered_set<std::string> &routes)
+{
+    std::erase_if(this->stateByRoute, [&routes](const auto &entry) { return !routes.contains(entry.first); });
+}
+
+std::size_t SplitPicker::size() const noexcept
+{
+    return this->stateByRoute.size();
+}
 } // namespace figpulley::routing
--- a/src/routing/splitpicker.h
+++ b/src/routing/splitpicker.h
@@ -3,8 +3,10 @@
 #include "core/random.h"
 #include "routing/routeset.h"
 
+#include <cstddef>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace figpulley::routing
@@ -18,6 +20,12 @@
     /// @param random source of the initial credits, which differ between nodes
     [[nodiscard]] const std::string &pick(const Route &route, core::Random &random);
 
+    /// Forgets routes that are no longer configured.
+    void retain(const std::unordered_set<std::string> &routes);
+
+    /// Returns the number of routes whose credits are kept.
+    [[nodiscard]] std::size_t size() const noexcept;
+
 private:
     struct SplitState
     {
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -1,11 +1,14 @@
 #include "support/story.h"
 
+#include "node/nodemetrics.h"
 #include "routing/chaintable.h"
 #include "routing/routing.h"
 
 #include <chrono>
 #include <map>
 #include <memory>
+#include <string>
+#include <unordered_set>
 
 using namespace figpulley;
 using namespace std::chrono_literals;
@@ -365,3 +368,34 @@
     story.check(replaced.expired() && other.expired(), "the replaced table and its other routes to be released");
     story.equal(held->name, std::string("r-7"), "the route of the request to stay");
 }
+
+// Guards against memory that grows with the routes of all earlier configurations.
+Test(routing, state_of_removed_routes_is_forgotten)
+{
+    tests::Story story;
+    routing::SplitPicker splits;
+    routing::ClientTimeoutHistory history;
+    node::NodeMetrics metrics;
+    core::Random random {1};
+    constexpr int versions = 1000;
+    for (int version = 0; version < versions; ++version) {
+        routing::Route route;
+        route.name = "r-" + std::to_string(version);
+        route.split = {{"a", 1}, {"b", 1}};
+        static_cast<void>(splits.pick(route, random));
+        static_cast<void>(history.estimateTimeSpent(route.name, 1s, core::TimePoint {} + 1h));
+        metrics.countCall("a", route.name, "0", core::ErrorKind::None, 200, 5ms);
+    }
+    metrics.countCall("", "", "", core::ErrorKind::NoRoute, 404, 1ms);
+    const auto before = metrics.exposition().size();
+    const std::unordered_set<std::string> configured {"r-7", "r-999"};
+    splits.retain(configured);
+    history.retain(configured);
+    metrics.retainRoutes(configured);
+    story.check(splits.size() == 2 && history.size() == 2, "only the configured routes to have state");
+    story.check(metrics.exposition().size() < before / 100, "the series of removed routes to be gone");
+    story.check(metrics.exposition().find("route=\"r-999\"") != std::string::npos, "those of configured routes to stay");
+    story.check(metrics.exposition().find("no-route") != std::string::npos, "those without a route to stay");
+    metrics.countCall("a", "r-5", "0", core::ErrorKind::None, 200, 5ms);
+    story.equal(metrics.countedRoutes(), 4U, "a late call of a removed route to be counted again");
+}
