Fix two findings of clang-tidy in the record's limit and the route table

Cause: a multiplication of int in a static_assert, and a name read in the statement that moves its route. Change: the widths stated, the statement split.

--- a/src/discovery/endpointrecord.h
+++ b/src/discovery/endpointrecord.h
@@ -18,7 +18,7 @@
 
 /// Longest encoded record, in bytes. A longer one is of another writer.
 inline constexpr std::size_t maxRecordBytes = 64UL * 1024UL;
-static_assert(6 * 6 * maxTextBytes < maxRecordBytes, "a record of six texts of only control characters, six bytes each, is valid");
+static_assert(36UL * maxTextBytes < maxRecordBytes, "a record of six texts of only control characters, six bytes each, is valid");
 
 /// Lifecycle state of an endpoint.
 enum class EndpointState : std::uint8_t {
--- a/src/routing/routetable.cpp
+++ b/src/routing/routetable.cpp
@@ -22,7 +22,8 @@
     , clientLimits(routes.limits)
 {
     for (auto &route : routes.routes) {
-        this->byHost[normalizedHost(route.host)].push_back(std::make_shared<const Route>(std::move(route)));
+        auto &hostRoutes = this->byHost[normalizedHost(route.host)];
+        hostRoutes.push_back(std::make_shared<const Route>(std::move(route)));
     }
     for (auto &[host, hostRoutes] : this->byHost) {
         std::stable_sort(hostRoutes.begin(), hostRoutes.end(),
