--- a/review/stage-3.h
+++ b/review/stage-3.h
@@ -800,11 +800,31 @@
         return response && response->status() / 100 == 2;
     }
 
+    [[nodiscard]] std::string heartbeatPath() const
+    {
+        return "/v1/Instances.Heartbeat/" + this->id;
+    }
+
+    [[nodiscard]] std::string heartbeat(int number) const
+    {
+        const json body {{"Service", this->machine.service},
+                         {"Address", this->machine.app.text()},
+                         {"Zone", this->machine.zone},
+                         {"Version", "v1"},
+                         {"Slots", this->slots},
+                         {"State", this->isLeaving ? "draining" : "ready"},
+                         {"ColdRemainingS", 0},
+                         {"Seq", number},
+                         {"born", this->born}};
+        return body.dump();
+    }
+
     Machine machine;
     std::string id;
     int slots;
     std::int64_t born;
-    std::atomic<bool> isStopped {false};
+    std::atomic<int> sequence {0}; ///< of the latest heartbeat
+    std::atomic<bool> isStopped {false}; ///< no further heartbeats are sent
     std::atomic<bool> isLeaving {false};
 
 private:
@@ -832,17 +852,8 @@
 
     void sendHeartbeats()
     {
-        for (int sequence = 1; !this->isStopped; ++sequence) {
-            const json body {{"Service", this->machine.service},
-                             {"Address", this->machine.app.text()},
-                             {"Zone", this->machine.zone},
-                             {"Version", "v1"},
-                             {"Slots", this->slots},
-                             {"State", this->isLeaving ? "draining" : "ready"},
-                             {"ColdRemainingS", 0},
-                             {"Seq", sequence},
-                             {"born", this->born}};
-            this->post("/v1/Instances.Heartbeat/" + this->id, body.dump());
+        while (!this->isStopped) {
+            this->post(this->heartbeatPath(), this->heartbeat(++this->sequence));
             for (int step = 0; step < 30 && !this->isStopped; ++step) {
                 sleepFor(0.05);
             }
