--- a/review/stage-3.h
+++ b/review/stage-3.h
@@ -779,7 +779,11 @@
 
     [[nodiscard]] Headers answerHeaders(const Message &request) const
     {
-        return {{"X-Request-Id", find(request.headers, "X-Request-Id")}, {"X-Server-Stamp", "stamp." + this->id}};
+        Headers headers {{"X-Request-Id", find(request.headers, "X-Request-Id")}, {"X-Server-Stamp", "stamp." + this->id}};
+        if (this->isLeaving) {
+            headers.emplace_back("Server-Leaving", "1");
+        }
+        return headers;
     }
 
     std::vector<Arrival> allArrivals()
