A node that starts without the store learns from its neighbours

Cause: the store is the only way by which a node that starts finds others, so the log says peers.asked cause="no other node known"; the other nodes know its address, but nothing makes them use it.

Change: each node keeps one request open to the nodes whose successor it is on a hash ring of the directory (two of all nodes, one of the zone: selectSuccessors). It ends with the neighbour's process and opens again within half a second after the next one has started; a node whose store has not listed the directory asks such a neighbour for its configuration, its nodes and its own record.

Measured: mesh/node_that_starts_without_the_store_learns_from_its_neighbours fails without the contacts (no configuration within 10 s) and passes with them.

--- a/src/discovery/discovery.h
+++ b/src/discovery/discovery.h
@@ -6,5 +6,6 @@
 #include "discovery/fwd.h"
 #include "discovery/heartbeat.h"
 #include "discovery/localendpoint.h"
+#include "discovery/neighbours.h"
 #include "discovery/restorewindow.h"
 #include "discovery/watchers.h"
--- a/src/mesh/inboundproxy.cpp
+++ b/src/mesh/inboundproxy.cpp
@@ -338,11 +338,11 @@
     std::string requestId;
 };
 
-InboundProxy::InboundProxy(MeshContext context, LocalRegistrar &registrar, SnapshotExchange &snapshots, ChangeRelay &changes)
+InboundProxy::InboundProxy(MeshContext context, LocalRegistrar &registrar, SnapshotExchange &snapshots, PeerCalls &peerCalls)
     : context(context)
     , registrar(registrar)
     , snapshots(snapshots)
-    , changes(changes)
+    , peerCalls(peerCalls)
     , conditionUpdater(context.board)
 {
     this->queue.setProbeInterval(context.settings.limitProbeInterval);
@@ -449,15 +449,10 @@
 
 void InboundProxy::accept(std::shared_ptr<net::HttpExchange> exchange)
 {
-    const auto &request = exchange->request();
-    if (const auto selection = net::findHeader(request.headers, SnapshotExchange::header); !selection.empty()) {
-        this->snapshots.accept(selection, *exchange);
-        return;
-    }
-    if (!net::findHeader(request.headers, ChangeRelay::header).empty()) {
-        this->changes.accept(exchange);
+    if (this->peerCalls.accept(exchange)) {
         return;
     }
+    const auto &request = exchange->request();
     auto head = decodeAttemptHead(net::findHeader(request.headers, node::callHeader));
     if (!head) {
         core::CallOutcome outcome;
--- a/src/mesh/inboundproxy.h
+++ b/src/mesh/inboundproxy.h
@@ -2,10 +2,10 @@
 
 #include "gate/slotqueue.h"
 #include "mesh/attempthead.h"
-#include "mesh/changerelay.h"
 #include "mesh/conditionupdater.h"
 #include "mesh/dispatchcounts.h"
 #include "mesh/meshcontext.h"
+#include "mesh/peercalls.h"
 #include "mesh/snapshotexchange.h"
 #include "net/relayserver.h"
 #include "routing/chaintable.h"
@@ -24,7 +24,8 @@
 {
 public:
     /// @param registrar receives departures that the endpoint states in its responses
-    InboundProxy(MeshContext context, LocalRegistrar &registrar, SnapshotExchange &snapshots, ChangeRelay &changes);
+    /// @param peerCalls receives the calls of other nodes that are no attempts
+    InboundProxy(MeshContext context, LocalRegistrar &registrar, SnapshotExchange &snapshots, PeerCalls &peerCalls);
     ~InboundProxy();
     InboundProxy(const InboundProxy &) = delete;
     InboundProxy &operator=(const InboundProxy &) = delete;
@@ -71,7 +72,7 @@
     MeshContext context;
     LocalRegistrar &registrar;
     SnapshotExchange &snapshots;
-    ChangeRelay &changes;
+    PeerCalls &peerCalls;
     ConditionUpdater conditionUpdater;
     gate::SlotQueue queue;
     routing::ChainTable chainTable;
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -73,7 +73,9 @@
     , snapshots(this->context, this->configUpdater, this->directoryUpdater)
     , peerInquiry(
           this->context, this->snapshots, [this] { this->mergeOwnRecord(); }, [this] { this->handleInquiryEnded(); })
+    , contacts(this->context, [this](const ContactGreeting &greeting) { this->handleContact(greeting); })
     , changes(this->context)
+    , peerCalls(this->snapshots, this->changes, this->contacts)
     , relayedStore(this->context, this->changes)
 {
     this->eraCheckedStore.era().addListener(
@@ -83,7 +85,7 @@
             this->inbound->refuseQueued();
         }
     });
-    this->inbound = std::make_unique<InboundProxy>(this->context, *this->registrar, this->snapshots, this->changes);
+    this->inbound = std::make_unique<InboundProxy>(this->context, *this->registrar, this->snapshots, this->peerCalls);
     this->outbound = std::make_unique<OutboundProxy>(this->context, this->snapshots, this->inbound->chains());
     this->control = std::make_unique<ControlServer>(this->context, *this->registrar, [this] { return this->isReady(); });
 }
@@ -196,6 +198,7 @@
     endpointLimits.contentBytes = discovery::maxRecordBytes;
     this->endpointsFollower = this->follow(LocalRegistrar::collection, endpoints, {endpointChangeDelay, {}, endpointLimits});
     this->registrar->start();
+    this->contacts.start();
     this->reportLoad();
     core::log(core::LogLevel::Info, "node.started",
               {{"name", this->settings.name},
@@ -224,6 +227,13 @@
     }
 }
 
+void MeshNode::handleContact(const ContactGreeting &greeting)
+{
+    if (!this->peerInquiry.askNeighbour(greeting.node)) {
+        this->snapshots.fetchIfNewer(greeting.node, greeting.configVersion);
+    }
+}
+
 void MeshNode::handleInquiryEnded()
 {
     this->registrar->readStoredRecord();
@@ -336,6 +346,7 @@
     lifecycle.stopRequestedAt = core::steadyNow();
     lifecycle.responsesDueAt = lifecycle.stopRequestedAt + this->settings.grace - responseMargin;
     this->changes.close();
+    this->contacts.close();
     core::log(core::LogLevel::Info, "node.stopping", {{"in_flight", fmt::to_string(this->inFlight())}});
     this->checkStop();
 }
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -8,7 +8,9 @@
 #include "mesh/localregistrar.h"
 #include "mesh/meshboard.h"
 #include "mesh/meshsettings.h"
+#include "mesh/neighbourcontacts.h"
 #include "mesh/outboundproxy.h"
+#include "mesh/peercalls.h"
 #include "mesh/peerinquiry.h"
 #include "mesh/relayedstore.h"
 #include "mesh/snapshotexchange.h"
@@ -64,6 +66,7 @@
     void reportUnreadable(const std::string &collection, std::size_t count);
     void activateRoutes(const std::string &text);
     void mergeOwnRecord();
+    void handleContact(const ContactGreeting &greeting);
     void handleInquiryEnded();
     void scheduleRemovalOfLost(std::uint64_t era);
     void handleStoreRestored(std::uint64_t earlierEra, std::uint64_t era);
@@ -86,7 +89,9 @@
     DirectoryUpdater directoryUpdater;
     SnapshotExchange snapshots;
     PeerInquiry peerInquiry;
+    NeighbourContacts contacts;
     ChangeRelay changes;
+    PeerCalls peerCalls;
     RelayedStore relayedStore;
     std::shared_ptr<LocalRegistrar> registrar;
     std::unique_ptr<InboundProxy> inbound;
--- a/src/mesh/peerinquiry.cpp
+++ b/src/mesh/peerinquiry.cpp
@@ -18,6 +18,8 @@
 
 // Some of the peers may have restarted as well, or be cut off from this node.
 constexpr std::size_t maxPeers = 5;
+// Nodes that have this one as a successor, and a few more while directories differ.
+constexpr std::size_t maxNeighbours = 4;
 // A peer that has restarted as well has asked others itself; later answers are still taken over.
 constexpr std::size_t sufficientAnswers = 2;
 // The node is not ready meanwhile, and a change of the configuration has to be active within 2 s.
@@ -76,6 +78,29 @@
     });
 }
 
+// Each snapshot of all records may be a part of them, so every neighbour that is asked for its record of this node is asked for both.
+bool PeerInquiry::askNeighbour(const std::string &node)
+{
+    const bool isEnough = this->askedNeighbours.size() >= maxNeighbours;
+    if (this->isStarted || isEnough || !this->askedNeighbours.insert(node).second) {
+        return false;
+    }
+    core::log(core::LogLevel::Info, "neighbour.asked", {{"node", node}});
+    this->snapshots.fetchOwn(node, [this, node](bool hasConfig) { this->handleNeighbourAnswer(node, hasConfig); });
+    this->snapshots.fetchAll(node, [](bool) {});
+    return true;
+}
+
+// A neighbour that has failed, or that knows as little, is asked again when it renews its contact.
+void PeerInquiry::handleNeighbourAnswer(const std::string &node, bool hasConfig)
+{
+    if (hasConfig) {
+        this->onAnswer();
+    } else {
+        this->askedNeighbours.erase(node);
+    }
+}
+
 bool PeerInquiry::hasEnded() const noexcept
 {
     return this->isEnded;
--- a/src/mesh/peerinquiry.h
+++ b/src/mesh/peerinquiry.h
@@ -4,14 +4,16 @@
 #include "mesh/snapshotexchange.h"
 
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace figpulley::mesh
 {
-/// Asks a few other nodes, once after the start, for what a restore of the store may have lost: the newest configuration and the last
-/// record of the endpoint on this VM. Without it, a restarted node would go back to the configuration of the backup until the operator
-/// has written again, and would take new requests for an endpoint whose departure was acknowledged.
+/// Asks a few other nodes after the start for what the store may have lost by a restore, or cannot give now: the newest configuration and
+/// the last record of the endpoint on this VM. Without it, a restarted node would go back to the configuration of the backup until the
+/// operator has written again, and would take new requests for an endpoint whose departure was acknowledged. While the store cannot be
+/// read, the nodes that open a contact to this one are asked, for the other nodes as well.
 class PeerInquiry
 {
 public:
@@ -22,9 +24,13 @@
     PeerInquiry(const PeerInquiry &) = delete;
     PeerInquiry &operator=(const PeerInquiry &) = delete;
 
-    /// Asks the peers, once the directory is known. Later calls do nothing.
+    /// Asks the peers, once the store has listed the directory. Later calls do nothing.
     void start();
 
+    /// Asks a node that has opened a contact, unless the store has listed the directory or enough such nodes were asked.
+    /// @returns whether the node is asked
+    bool askNeighbour(const std::string &node);
+
     /// Ends the inquiry after a while even if the directory does not become known.
     void limitTime();
 
@@ -33,6 +39,7 @@
 private:
     [[nodiscard]] std::vector<std::string> selectPeers() const;
     void handleAnswer(bool hasConfig);
+    void handleNeighbourAnswer(const std::string &node, bool hasConfig);
     void end(const char *cause);
 
     MeshContext context;
@@ -42,6 +49,7 @@
     net::EventLoop::TimerId limitTimer = net::EventLoop::noTimer;
     std::size_t pendingPeers = 0; // number of peers that have neither answered nor failed
     std::size_t answers = 0; // number of peers that have sent a configuration
+    std::set<std::string> askedNeighbours; // neighbours that have answered with a configuration or are being asked
     bool isStarted = false;
     bool isEnded = false;
 };
--- a/src/mesh/snapshotexchange.cpp
+++ b/src/mesh/snapshotexchange.cpp
@@ -44,7 +44,12 @@
         return;
     }
     this->isFetching = true;
-    this->fetch(node, allRecords, [this](bool /*hasConfig*/) { this->isFetching = false; });
+    this->fetchAll(node, [this](bool /*hasConfig*/) { this->isFetching = false; });
+}
+
+void SnapshotExchange::fetchAll(const std::string &node, std::function<void(bool)> onDone)
+{
+    this->fetch(node, allRecords, std::move(onDone));
 }
 
 void SnapshotExchange::fetchOwn(const std::string &node, std::function<void(bool)> onDone)
--- a/src/mesh/snapshotexchange.h
+++ b/src/mesh/snapshotexchange.h
@@ -30,6 +30,11 @@
     /// @param onDone called when the answer was applied or the call has failed; receives whether the peer has sent a configuration
     void fetchOwn(const std::string &node, std::function<void(bool)> onDone);
 
+    /// Fetches the configuration and the records of all nodes, or a part of them if they are many, from a peer.
+    /// @param node ip:port of the peer's ingress
+    /// @param onDone called when the answer was applied or the call has failed; receives whether the peer has sent a configuration
+    void fetchAll(const std::string &node, std::function<void(bool)> onDone);
+
     /// Answers a request for this node's configuration and directory; refuses it while the texts of earlier answers fill the pool.
     /// @param selection value of the request's header: "1" for all records, or ip:port of the only node whose record is wanted
     void accept(std::string_view selection, net::HttpExchange &exchange);
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -126,6 +126,28 @@
     });
 }
 
+// Guards against a node that starts while the store is down and refuses the requests of its own clients, as it knows no configuration and
+// no other node until one happens to send a request.
+Test(mesh, node_that_starts_without_the_store_learns_from_its_neighbours)
+{
+    tests::Story story;
+    tests::MeshTestbed bed;
+    bed.publish();
+    bed.addReady({"m1", "m2"}, "motivi");
+    bed.addReady({"c1"}, "commesse");
+    for (const auto *name : {"m1", "m2", "c1"}) {
+        bed.waitForReadyEndpoints(name, 2);
+    }
+    bed.waitForReadyEndpoints("m2", 1, "commesse");
+    bed.onLoop([&] { return bed.store->fault = tests::MetadataStore::Fault::Busy; });
+    bed.kill("c1");
+    bed.start("c1");
+    bed.waitForVersion("c1", 1);
+    bed.waitForReadyEndpoints("c1", 2);
+    story.equal(bed.request("c1", "/look/1").head.status, 200, "a request of the restarted node's client to be served");
+    story.equal(bed.readiness("c1"), 200, "the node to be ready");
+}
+
 // Guards against a streamed response that ends long after its route's timeout, because the node of the endpoint sends nothing more.
 Test(mesh, streamed_response_ends_with_its_deadline)
 {
