Tests: give each node process a loopback address of its own

memory/node_that_stood_still_reaches_the_newest_state failed once in a whole run and 2 of about 170 times alone. Cause, from the log of the third node of such a run: "cannot listen on 127.0.0.1:33985: Address already in use". The test chooses free ports of 127.0.0.1 and closes them again; an outgoing connection of any process, whose local address is 127.0.0.1 too, may take one before the node binds it. Then the fleet has one node less and the other two wait for it. Change: addresses of 127.64.0.0/10 by process and number, from which nothing connects.

--- a/tests/support/nodeprocess.h
+++ b/tests/support/nodeprocess.h
@@ -4,6 +4,7 @@
 #include "support/meshtestbed.h"
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
@@ -34,6 +35,15 @@
     net::Address metrics {};
 };
 
+/// Returns a loopback IP address that no other node process uses. On 127.0.0.1 an outgoing connection of any process may take a port
+/// between its choice and the start of the node.
+[[nodiscard]] inline std::string ownLoopbackIp()
+{
+    static std::atomic<int> count = 0;
+    const auto process = static_cast<unsigned>(getpid());
+    return fmt::format("127.{}.{}.{}", 64U + (process >> 8U) % 64U, process % 256U, 1 + count++ % 254);
+}
+
 /// A `figpulley mesh` process with its settings and its log in a temporary folder.
 class NodeProcess
 {
@@ -43,7 +53,7 @@
     {
         std::string pattern = (std::filesystem::temp_directory_path() / "figpulley-node-XXXXXX").string();
         this->folder = mkdtemp(pattern.data());
-        chooseAddresses("127.0.0.1",
+        chooseAddresses(ownLoopbackIp(),
                         {&this->settings.entrance, &this->settings.ingress, &this->settings.control, &this->settings.readiness,
                          &this->settings.metrics});
         std::ofstream(this->folder + "/node.jsonc") << fmt::format(
