A deregistration of a new incarnation under a known id closes the endpoint

Callers saw: 10 of 24 bookings reach an endpoint 2.3 s after its deregistration was acknowledged, and are lost when it exits. Cause: the endpoint has crashed, started again under its id and deregisters before its first heartbeat; LocalEndpoint::applyDeregistration took the later start time for another endpoint's, kept the record of the crashed incarnation as ready, and LocalRegistrar acknowledged the call whatever its effect was.

Change: such a deregistration replaces the record, as a heartbeat of the new incarnation would, in state gone; it is stored and told like any departure.

--- a/src/discovery/localendpoint.cpp
+++ b/src/discovery/localendpoint.cpp
@@ -135,7 +135,17 @@
         deregistration.id != this->known->id || (deregistration.incarnation != 0 && deregistration.incarnation != this->known->incarnation);
     if (isOther) {
         const auto incarnation = deregistration.incarnation != 0 ? deregistration.incarnation : wallMs;
-        if (deregistration.id != this->known->id || incarnation > this->known->incarnation) {
+        if (deregistration.id == this->known->id && incarnation > this->known->incarnation) {
+            // The endpoint has restarted under its id and leaves before its first heartbeat has arrived.
+            this->lastContactAt = now;
+            this->known->incarnation = incarnation;
+            this->known->sequence = 0;
+            this->known->state = EndpointState::Gone;
+            this->localState = LocalState::Leaving;
+            this->heartbeats = 0;
+            return UpdateResult::Changed;
+        }
+        if (deregistration.id != this->known->id) {
             this->otherDeparture = Deregistration {deregistration.id, incarnation};
         }
         return UpdateResult::Stale;
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -109,6 +109,22 @@
                     "the deregistration of the earlier incarnation to be stale");
         story.check(local.acceptsRequests(), "the new incarnation to accept requests after a stale deregistration");
     });
+    // Guards against an acknowledged deregistration that changes nothing, so that requests go on reaching the endpoint (review/8).
+    story.section("an endpoint that restarts with the same id and deregisters before its first heartbeat", [&] {
+        auto local = localEndpoint();
+        static_cast<void>(local.mergeStoredRecord(std::nullopt, after(0s)));
+        static_cast<void>(local.applyHeartbeat(heartbeat(100, 50), after(1s)));
+        story.equal(local.applyDeregistration({"i-1", 300}, after(2s), 2000), UpdateResult::Changed,
+                    "the deregistration to change the record");
+        story.check(!local.acceptsRequests(), "no requests to be accepted");
+        story.equal(local.record()->incarnation, 300, "the record to be of the new incarnation");
+        story.equal(local.applyHeartbeat(heartbeat(100, 51), after(3s)), UpdateResult::Stale,
+                    "a late heartbeat of the earlier incarnation to be stale");
+        static_cast<void>(local.applyHeartbeat(heartbeat(300, 1), after(3s)));
+        story.check(!local.acceptsRequests(), "no requests to be accepted after a late heartbeat of the new one");
+        static_cast<void>(local.applyHeartbeat(heartbeat(400, 1), after(4s)));
+        story.check(local.acceptsRequests(), "requests to be accepted for the next one");
+    });
     story.section("an endpoint without heartbeats", [&] {
         auto local = localEndpoint();
         static_cast<void>(local.mergeStoredRecord(std::nullopt, after(0s)));
