--- a/src/mesh/departurenotices.cpp
+++ b/src/mesh/departurenotices.cpp
@@ -30,7 +30,7 @@
 {
 }
 
-DepartureNotices::Progress DepartureNotices::tell(const discovery::EndpointRecord &record, std::function<void(Progress)> onProgress)
+DepartureNotices::Progress DepartureNotices::tell(const discovery::EndpointRecord &record, const std::function<void(Progress)> &onProgress)
 {
     const auto &settings = this->context.settings;
     const auto successors = discovery::selectSuccessors(this->context.board.directory.read(), record.node, settings.availabilityZone);
--- a/src/mesh/departurenotices.h
+++ b/src/mesh/departurenotices.h
@@ -29,7 +29,7 @@
     /// Tells the successors the record of the endpoint on this VM.
     /// @param onProgress called for each answer and each failure; never from inside this function
     /// @returns the progress before the first answer
-    Progress tell(const discovery::EndpointRecord &record, std::function<void(Progress)> onProgress);
+    Progress tell(const discovery::EndpointRecord &record, const std::function<void(Progress)> &onProgress);
 
     /// Takes over the record that another node tells, and answers whether this node knows its departures now.
     /// @param contacts keeps a contact to the node, so that its next process can learn of them
