Ask a new incarnation for its health at once

A new incarnation under the id of one that has left needs its health check before it opens; while the one before was being asked, the check waited for the interval of 200 ms. mesh/endpoint_that_states_its_departure_gets_no_requests, which sends a request within that time, failed once in a whole run of 156 tests. Change: the check of another incarnation begins at once, and the test waits until the endpoint is open, which its statement was not meant to be about. mesh/* passed three times, 4 jobs.

--- a/src/mesh/endpointprobe.cpp
+++ b/src/mesh/endpointprobe.cpp
@@ -46,6 +46,7 @@
         this->incarnation = record->incarnation;
         this->requests = 0;
         this->nextRequestAt = {};
+        this->context.loop.cancel(std::exchange(this->timer, net::EventLoop::noTimer));
     }
     if (this->timer == net::EventLoop::noTimer) {
         this->check();
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -472,6 +472,7 @@
         bed.stateCondition("m1", std::nullopt);
         bed.heartbeat("m1", 1, "ready", 200);
         bed.waitForIncarnation("c1", "m1", 200);
+        bed.waitUntil([&] { return bed.node("m1").board().local.read().acceptsRequests(); });
         bed.heartbeat("m2", 2, "draining");
         bed.waitForReadyEndpoints("c1", 1);
         story.equal(bed.request("c1", "/look/1").head.status, 200, "the request to be served");
