Acquire the retries of a repeated request's calls before it runs

Cause: a repeat is charged to the budget of the service that it is sent to. The calls that its run makes again counted as repeats at the node that sends them, but were never held back.

Change: ChainTable learns the calls of a run by service; InboundProxy acquires them from the budgets before a repeated request runs, all or none (RetryBudget::tryReserve, CallReservation), and refuses it as not run otherwise. A call beyond them needs a retry of its own. MeshNode owns the budget, which both proxies use.

--- a/src/core/errorkind.cpp
+++ b/src/core/errorkind.cpp
@@ -8,7 +8,7 @@
 {
 constexpr std::array<std::string_view, 3> ranNames {"no", "unknown", "yes"};
 
-constexpr std::array<ErrorProperties, 30> table {{
+constexpr std::array<ErrorProperties, 31> table {{
     {ErrorKind::None, "none", 200, Ran::Yes, false, "answer of the upstream"},
     {ErrorKind::Overloaded, "overloaded", 503, Ran::No, true, "the endpoint has no capacity for this priority"},
     {ErrorKind::ShedEarly, "shed-early", 503, Ran::No, false, "a service on the path has no capacity for this priority"},
@@ -39,6 +39,8 @@
     {ErrorKind::HistoryGone, "history-gone", 410, Ran::No, true, "the store has discarded the changes since that revision"},
     {ErrorKind::Stopping, "stopping", 503, Ran::No, true, "the node is stopping"},
     {ErrorKind::UpstreamRefused, "upstream-refused", 503, Ran::No, true, "the endpoint itself refused the call and did not run it"},
+    {ErrorKind::RetryBudgetSpent, "retry-budget-spent", 503, Ran::No, true,
+     "the call is part of a repeated one, and the retry budget of a service that it needs is spent"},
 }};
 
 constexpr bool isInOrder()
@@ -51,7 +53,7 @@
     return true;
 }
 static_assert(isInOrder(), "errorProperties() indexes the table by kind");
-static_assert(table.size() == static_cast<std::size_t>(ErrorKind::UpstreamRefused) + 1, "every kind has a row");
+static_assert(table.size() == static_cast<std::size_t>(ErrorKind::RetryBudgetSpent) + 1, "every kind has a row");
 } // namespace
 
 std::string_view name(Ran ran) noexcept
@@ -59,7 +61,7 @@
     return ranNames[static_cast<std::size_t>(ran)];
 }
 
-const std::array<ErrorProperties, 30> &errorTable() noexcept
+const std::array<ErrorProperties, 31> &errorTable() noexcept
 {
     return table;
 }
--- a/src/core/errorkind.h
+++ b/src/core/errorkind.h
@@ -49,6 +49,7 @@
     HistoryGone,
     Stopping,
     UpstreamRefused,
+    RetryBudgetSpent,
 };
 
 /// Properties of one error kind and of figpulley's response for it.
@@ -63,7 +64,7 @@
 };
 
 /// Properties of all error kinds, in the order of the enumeration.
-[[nodiscard]] const std::array<ErrorProperties, 30> &errorTable() noexcept;
+[[nodiscard]] const std::array<ErrorProperties, 31> &errorTable() noexcept;
 
 /// Looks up the properties of an error kind.
 ///
--- a/src/mesh/inboundproxy.cpp
+++ b/src/mesh/inboundproxy.cpp
@@ -79,6 +79,21 @@
         return this->head;
     }
 
+    /// Acquires the retries that the calls of a repeated request will need.
+    /// @returns false if the budget of a service does not suffice
+    [[nodiscard]] bool reserveCalls()
+    {
+        if (!this->head.isRepeat) {
+            return true;
+        }
+        auto acquired = this->proxy.retryBudget.tryReserve(this->proxy.chainTable.expectedCalls(),
+                                                           this->proxy.context.board.directory.read().size(), this->arrived);
+        if (acquired) {
+            this->reservation = std::move(*acquired);
+        }
+        return acquired.has_value();
+    }
+
     void cancelOnDisconnect()
     {
         this->exchange->onCancelled([weak = this->weak_from_this()] {
@@ -138,7 +153,8 @@
         this->incarnation = context.board.local.read().record()->incarnation;
         const auto kind = this->proxy.dispatchCounts.add(this->head.originNode, this->head.isNested, this->head.isRepeat);
         context.metrics.countDispatch(this->head.service, kind, this->started - this->arrived);
-        this->proxy.chainTable.addRun(this->requestId, {this->head.rank, this->head.isRepeat, this->head.isNested});
+        this->proxy.chainTable.addRun(this->requestId, {this->head.rank, this->head.isRepeat, this->head.isNested},
+                                      std::move(this->reservation));
         net::ClientRequest request;
         request.method = incoming.method;
         request.url = fmt::format("http://{}{}{}", context.settings.upstream.toString(), incoming.path, incoming.query);
@@ -308,7 +324,7 @@
         gate::FinishedRun run;
         run.isNested = this->head.isNested;
         run.runTime = isTimingSample ? now - this->started : core::Duration {};
-        run.nestedTime = this->proxy.chainTable.removeRun(this->requestId);
+        run.nestedTime = this->proxy.chainTable.removeRun(this->requestId, isTimingSample);
         run.objective = this->head.objectiveLeft;
         return this->proxy.queue.finish(run, now);
     }
@@ -335,14 +351,17 @@
     core::TimePoint deadline;
     core::TimePoint started {};
     std::int64_t incarnation = 0; // incarnation of the endpoint that runs the request
+    routing::CallReservation reservation; // until the request runs
     std::string requestId;
 };
 
-InboundProxy::InboundProxy(MeshContext context, LocalRegistrar &registrar, SnapshotExchange &snapshots, PeerCalls &peerCalls)
+InboundProxy::InboundProxy(MeshContext context, LocalRegistrar &registrar, SnapshotExchange &snapshots, PeerCalls &peerCalls,
+                           routing::RetryBudget &retryBudget)
     : context(context)
     , registrar(registrar)
     , snapshots(snapshots)
     , peerCalls(peerCalls)
+    , retryBudget(retryBudget)
     , conditionUpdater(context.board)
 {
     this->queue.setProbeInterval(context.settings.limitProbeInterval);
@@ -473,6 +492,10 @@
         attempt->refuse(refusal, Ran::No, refusedRetryAfter);
         return;
     }
+    if (!attempt->reserveCalls()) {
+        attempt->refuse(ErrorKind::RetryBudgetSpent, Ran::No, refusedRetryAfter);
+        return;
+    }
     this->queue.setSlots(this->context.board.local.read().record()->slots);
     this->applyDecisions({this->queue.offer(queued, core::steadyNow())});
     this->scheduleExpiry();
--- a/src/mesh/inboundproxy.h
+++ b/src/mesh/inboundproxy.h
@@ -10,6 +10,7 @@
 #include "net/relayserver.h"
 #include "routing/chaintable.h"
 #include "routing/endpointcondition.h"
+#include "routing/retrybudget.h"
 
 #include <memory>
 #include <unordered_map>
@@ -25,7 +26,9 @@
 public:
     /// @param registrar receives departures that the endpoint states in its responses
     /// @param peerCalls receives the calls of other nodes that are no attempts
-    InboundProxy(MeshContext context, LocalRegistrar &registrar, SnapshotExchange &snapshots, PeerCalls &peerCalls);
+    /// @param retryBudget from which the calls of repeated requests are acquired before these run
+    InboundProxy(MeshContext context, LocalRegistrar &registrar, SnapshotExchange &snapshots, PeerCalls &peerCalls,
+                 routing::RetryBudget &retryBudget);
     ~InboundProxy();
     InboundProxy(const InboundProxy &) = delete;
     InboundProxy &operator=(const InboundProxy &) = delete;
@@ -73,6 +76,7 @@
     LocalRegistrar &registrar;
     SnapshotExchange &snapshots;
     PeerCalls &peerCalls;
+    routing::RetryBudget &retryBudget;
     ConditionUpdater conditionUpdater;
     gate::SlotQueue queue;
     routing::ChainTable chainTable;
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -78,6 +78,7 @@
     , contacts(this->context, [this](const ContactGreeting &greeting) { this->handleContact(greeting); })
     , changes(this->context)
     , peerCalls(this->snapshots, this->changes, this->contacts, this->directoryUpdater)
+    , retryBudget(this->settings.retryBudget)
     , relayedStore(this->context, this->changes)
 {
     this->eraCheckedStore.era().addListener(
@@ -87,8 +88,8 @@
             this->inbound->refuseQueued();
         }
     });
-    this->inbound = std::make_unique<InboundProxy>(this->context, *this->registrar, this->snapshots, this->peerCalls);
-    this->outbound = std::make_unique<OutboundProxy>(this->context, this->snapshots, this->inbound->chains());
+    this->inbound = std::make_unique<InboundProxy>(this->context, *this->registrar, this->snapshots, this->peerCalls, this->retryBudget);
+    this->outbound = std::make_unique<OutboundProxy>(this->context, this->snapshots, this->inbound->chains(), this->retryBudget);
     this->control = std::make_unique<ControlServer>(this->context, *this->registrar, [this] { return this->isReady(); });
 }
 
@@ -330,7 +331,7 @@
     expected.limitProbeInterval = changed.limitProbeInterval;
     this->settings = expected;
     core::setLogLevel(changed.logLevel);
-    this->outbound->setRetryBudget(changed.retryBudget);
+    this->retryBudget.setRules(changed.retryBudget);
     this->inbound->setLimitProbeInterval(changed.limitProbeInterval);
     return expected == changed;
 }
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -92,6 +92,7 @@
     NeighbourContacts contacts;
     ChangeRelay changes;
     PeerCalls peerCalls;
+    routing::RetryBudget retryBudget;
     RelayedStore relayedStore;
     std::shared_ptr<LocalRegistrar> registrar;
     std::unique_ptr<InboundProxy> inbound;
--- a/src/mesh/outboundproxy.cpp
+++ b/src/mesh/outboundproxy.cpp
@@ -54,6 +54,7 @@
     case ErrorKind::ConnectFailed:
         return AttemptOutcome::Unreachable;
     case ErrorKind::Cancelled:
+    case ErrorKind::RetryBudgetSpent: // it says nothing about the endpoint
         return AttemptOutcome::Cancelled;
     default:
         return AttemptOutcome::Failed;
@@ -114,8 +115,15 @@
             this->refuse(ErrorKind::Stopping, noEndpointRetryAfter);
             return;
         }
-        this->chain = this->proxy.chains.contextOf(context.wire.parentRequestId(this->requestId), this->requestId, this->route->priority);
-        this->proxy.retryBudget.countRequest(this->service, this->chain.isRetry, this->arrived);
+        const auto parent = context.wire.parentRequestId(this->requestId);
+        this->chain = this->proxy.chains.contextOf(parent, this->requestId, this->route->priority);
+        const bool isAcquired = this->proxy.chains.beginNestedCall(parent, this->service);
+        if (!this->chain.isRetry) {
+            this->proxy.retryBudget.countRequest(this->service, this->arrived);
+        } else if (!isAcquired && !this->acquireRetry(this->arrived)) {
+            this->refuse(ErrorKind::RetryBudgetSpent, noEndpointRetryAfter);
+            return;
+        }
         this->deadline = this->arrived + std::min(head.clientTimeout.value_or(defaultClientTimeout), this->route->timeout);
         if (lifecycle.isStopping) {
             // The endpoint's node refuses an attempt as not run if it cannot be served before this process exits.
@@ -318,9 +326,7 @@
                                                  : this->plan.recordNodeRefusal();
         // A request that timed out in the queue of one node would also wait at the next one, so its client gets the refusal without delay.
         const bool hasTime = kind != ErrorKind::QueueTimeout && this->deadline - now > minAttemptTime;
-        const bool isWithinBudget = next != AttemptPlan::Next::FromBudget
-            || this->proxy.retryBudget.tryAcquire(this->service, {this->chain.rank, this->chain.completedCalls},
-                                                  this->proxy.context.board.directory.read().size(), now);
+        const bool isWithinBudget = next != AttemptPlan::Next::FromBudget || this->acquireRetry(now);
         if (next == AttemptPlan::Next::GiveUp || !hasTime || !isWithinBudget) {
             this->giveUp(kind, retryAfter);
             return;
@@ -328,6 +334,12 @@
         this->startAttempt();
     }
 
+    [[nodiscard]] bool acquireRetry(core::TimePoint now)
+    {
+        return this->proxy.retryBudget.tryAcquire(this->service, {this->chain.rank, this->chain.completedCalls},
+                                                  this->proxy.context.board.directory.read().size(), now);
+    }
+
     void handleDisconnect()
     {
         const auto keepAlive = this->shared_from_this();
@@ -428,11 +440,12 @@
     bool isSent = false;
 };
 
-OutboundProxy::OutboundProxy(MeshContext context, SnapshotExchange &snapshots, routing::ChainTable &chains)
+OutboundProxy::OutboundProxy(MeshContext context, SnapshotExchange &snapshots, routing::ChainTable &chains,
+                             routing::RetryBudget &retryBudget)
     : context(context)
     , snapshots(snapshots)
     , chains(chains)
-    , retryBudget(context.settings.retryBudget)
+    , retryBudget(retryBudget)
 {
     this->server =
         std::make_unique<net::RelayServer>(context.loop, context.settings.entrance,
@@ -470,11 +483,6 @@
     this->context.metrics.retainRoutes(names);
 }
 
-void OutboundProxy::setRetryBudget(const routing::RetryBudgetRules &rules)
-{
-    this->retryBudget.setRules(rules);
-}
-
 std::size_t OutboundProxy::inFlight() const noexcept
 {
     return this->calls.size();
--- a/src/mesh/outboundproxy.h
+++ b/src/mesh/outboundproxy.h
@@ -21,7 +21,8 @@
 {
 public:
     /// @param chains requests that the endpoint on this VM is running
-    OutboundProxy(MeshContext context, SnapshotExchange &snapshots, routing::ChainTable &chains);
+    /// @param retryBudget shared with the proxy that admits repeated requests to the endpoint
+    OutboundProxy(MeshContext context, SnapshotExchange &snapshots, routing::ChainTable &chains, routing::RetryBudget &retryBudget);
     ~OutboundProxy();
     OutboundProxy(const OutboundProxy &) = delete;
     OutboundProxy &operator=(const OutboundProxy &) = delete;
@@ -29,8 +30,6 @@
     /// Applies the client limits of a configuration, and forgets what is known of routes that it does not have.
     void applyConfiguration(const routing::RouteTable &routes);
 
-    void setRetryBudget(const routing::RetryBudgetRules &rules);
-
     /// Ends all open requests, because the process exits. They are reported as not run where that is certain.
     void endOpenCalls();
 
@@ -54,7 +53,7 @@
     SnapshotExchange &snapshots;
     routing::ChainTable &chains;
     routing::EndpointPicker picker;
-    routing::RetryBudget retryBudget;
+    routing::RetryBudget &retryBudget;
     routing::SplitPicker splits;
     routing::ClientTimeoutHistory timeoutHistory;
     std::unordered_set<Call *> calls;
--- a/src/routing/chaintable.cpp
+++ b/src/routing/chaintable.cpp
@@ -1,25 +1,44 @@
 #include "routing/chaintable.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace figpulley::routing
 {
-void ChainTable::addRun(const std::string &requestId, const ChainContext &context)
+void ChainTable::addRun(const std::string &requestId, const ChainContext &context, CallReservation reservation)
 {
-    this->activeRuns.insert_or_assign(requestId, ActiveRun {context, {}});
+    this->activeRuns.insert_or_assign(requestId, ActiveRun {context, {}, {}, std::move(reservation)});
 }
 
-core::Duration ChainTable::removeRun(const std::string &requestId)
+core::Duration ChainTable::removeRun(const std::string &requestId, bool isAnswered)
 {
     const auto found = this->activeRuns.find(requestId);
     if (found == this->activeRuns.end()) {
         return {};
     }
     const auto nestedTime = found->second.nestedTime;
+    if (isAnswered) {
+        this->profile.addRun(found->second.calls);
+    }
     this->activeRuns.erase(found);
     return nestedTime;
 }
 
+bool ChainTable::beginNestedCall(std::string_view requestId, const std::string &service)
+{
+    const auto found = this->activeRuns.find(std::string(requestId));
+    if (found == this->activeRuns.end()) {
+        return false;
+    }
+    ++found->second.calls[service];
+    return found->second.reservation.take(service);
+}
+
+CallReservation::Calls ChainTable::expectedCalls() const
+{
+    return this->profile.expectedCalls();
+}
+
 void ChainTable::addNestedCall(std::string_view requestId, core::Duration duration, bool isCompleted)
 {
     const auto found = this->activeRuns.find(std::string(requestId));
--- a/src/routing/chaintable.h
+++ b/src/routing/chaintable.h
@@ -2,6 +2,8 @@
 
 #include "core/rank.h"
 #include "core/time.h"
+#include "routing/callprofile.h"
+#include "routing/callreservation.h"
 
 #include <string>
 #include <string_view>
@@ -25,11 +27,20 @@
 {
 public:
     /// Adds a request that the endpoint starts to run.
-    void addRun(const std::string &requestId, const ChainContext &context);
+    /// @param reservation retries that its calls may use if it is a repeated one
+    void addRun(const std::string &requestId, const ChainContext &context, CallReservation reservation = {});
 
     /// Removes a request that has ended.
+    /// @param isAnswered whether the endpoint has responded, so that it has made all calls that it needs
     /// @returns the time that it spent waiting for its nested calls; zero if the request is unknown
-    core::Duration removeRun(const std::string &requestId);
+    core::Duration removeRun(const std::string &requestId, bool isAnswered);
+
+    /// Counts a nested call of a request that is running.
+    /// @returns whether the retry that the call is was acquired in advance
+    bool beginNestedCall(std::string_view requestId, const std::string &service);
+
+    /// Calls that a run is expected to make, by service.
+    [[nodiscard]] CallReservation::Calls expectedCalls() const;
 
     /// Adds an ended nested call to the request that made it; ignored if the request is unknown.
     void addNestedCall(std::string_view requestId, core::Duration duration, bool isCompleted);
@@ -45,9 +56,12 @@
     {
         ChainContext context;
         core::Duration nestedTime {};
+        CallReservation::Calls calls;
+        CallReservation reservation;
     };
 
     std::unordered_map<std::string, ActiveRun> activeRuns;
+    CallProfile profile;
 };
 
 /// Computes the rank of a root call.
--- a/src/routing/retrybudget.cpp
+++ b/src/routing/retrybudget.cpp
@@ -52,11 +52,9 @@
     return budget;
 }
 
-void RetryBudget::countRequest(const std::string &service, bool isRetry, core::TimePoint now)
+void RetryBudget::countRequest(const std::string &service, core::TimePoint now)
 {
-    auto &slice = this->currentBudget(service, now).slices.back();
-    ++slice.requests;
-    slice.retries += isRetry ? 1 : 0;
+    ++this->currentBudget(service, now).slices.back().requests;
 }
 
 // Sets the lowest accepted bucket so that the retries requested from it upwards fit the allowed rate.
@@ -94,23 +92,56 @@
     return sum;
 }
 
-bool RetryBudget::tryAcquire(const std::string &service, const RetryClaim &claim, std::size_t nodes, core::TimePoint now)
+// Returns the retries that this node may send in a window.
+double RetryBudget::allowedRetries(const ServiceBudget &budget, std::size_t nodes, core::TimePoint now) const
 {
-    auto &budget = this->currentBudget(service, now);
     const auto window = this->rules.window;
-    const auto current = countSlices(budget, now, Duration {}, window);
     const auto earlier =
         std::max(countSlices(budget, now, window / 2, window * 3 / 2).requests, countSlices(budget, now, window, window * 2).requests);
-    const auto requests = std::max<double>(current.requests, earlierRatio * earlier);
+    const auto requests = std::max<double>(countSlices(budget, now, Duration {}, window).requests, earlierRatio * earlier);
     const auto nodeSlack = this->rules.slack / static_cast<double>(std::max<std::size_t>(1, nodes));
-    const auto allowed = usableRatio * (this->rules.ratio * requests + nodeSlack);
+    return usableRatio * (this->rules.ratio * requests + nodeSlack);
+}
+
+bool RetryBudget::tryAcquire(const std::string &service, const RetryClaim &claim, std::size_t nodes, core::TimePoint now)
+{
+    auto &budget = this->currentBudget(service, now);
+    const auto allowed = this->allowedRetries(budget, nodes, now);
     const auto bucket = bucketOf(claim);
     budget.requested[bucket] += 1;
     this->updateThreshold(budget, allowed / core::toSeconds(this->rules.window), now);
-    if (bucket < budget.minBucket || current.retries + 1 > allowed) {
+    if (bucket < budget.minBucket || countSlices(budget, now, Duration {}, this->rules.window).retries + 1 > allowed) {
         return false;
     }
     ++budget.slices.back().retries;
     return true;
 }
+
+std::optional<CallReservation> RetryBudget::tryReserve(const CallReservation::Calls &calls, std::size_t nodes, core::TimePoint now)
+{
+    for (const auto &[service, count] : calls) {
+        const auto &budget = this->currentBudget(service, now);
+        if (countSlices(budget, now, Duration {}, this->rules.window).retries + count > this->allowedRetries(budget, nodes, now)) {
+            return std::nullopt;
+        }
+    }
+    for (const auto &[service, count] : calls) {
+        this->currentBudget(service, now).slices.back().retries += count;
+    }
+    return CallReservation(calls, [this](const CallReservation::Calls &unused) { this->release(unused); });
+}
+
+// Takes unused retries off the latest slices. A reservation that is older than the window has left the count by itself.
+void RetryBudget::release(const CallReservation::Calls &unused)
+{
+    for (const auto &[service, count] : unused) {
+        auto rest = count;
+        auto &slices = this->budgets[service].slices;
+        for (auto slice = slices.rbegin(); slice != slices.rend() && rest > 0; ++slice) {
+            const auto taken = std::min(rest, slice->retries);
+            slice->retries -= taken;
+            rest -= taken;
+        }
+    }
+}
 } // namespace figpulley::routing
--- a/src/routing/retrybudget.h
+++ b/src/routing/retrybudget.h
@@ -2,10 +2,12 @@
 
 #include "core/rank.h"
 #include "core/time.h"
+#include "routing/callreservation.h"
 
 #include <array>
 #include <cstddef>
 #include <deque>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -44,15 +46,19 @@
     /// Replaces the bounds and keeps the counts.
     void setRules(const RetryBudgetRules &changed);
 
-    /// Counts a request for a service.
-    /// @param isRetry whether the run that made the request may repeat an earlier one, so that the request counts as a retry
-    void countRequest(const std::string &service, bool isRetry, core::TimePoint now);
+    /// Counts a request for a service. One that the run of a repeated request makes is a retry instead, and must be acquired.
+    void countRequest(const std::string &service, core::TimePoint now);
 
     /// Acquires one retry from this node's part of the budget.
     /// @param nodes number of nodes that share the budget
     /// @returns false if this node's part is used up or reserved for more important claims
     [[nodiscard]] bool tryAcquire(const std::string &service, const RetryClaim &claim, std::size_t nodes, core::TimePoint now);
 
+    /// Acquires the retries that the run of a repeated request needs for its calls, of all services or of none.
+    /// @param calls expected calls by service
+    /// @returns nothing if the part of this node does not suffice for one of the services
+    [[nodiscard]] std::optional<CallReservation> tryReserve(const CallReservation::Calls &calls, std::size_t nodes, core::TimePoint now);
+
 private:
     // Buckets of the histogram of claims: by priority level, then by completed calls, then by the user's part of the rank.
     static constexpr std::size_t progressSteps = 4;
@@ -78,6 +84,8 @@
     };
 
     [[nodiscard]] static Slice countSlices(const ServiceBudget &budget, core::TimePoint now, core::Duration from, core::Duration to);
+    [[nodiscard]] double allowedRetries(const ServiceBudget &budget, std::size_t nodes, core::TimePoint now) const;
+    void release(const CallReservation::Calls &unused);
     ServiceBudget &currentBudget(const std::string &service, core::TimePoint now);
     void updateThreshold(ServiceBudget &budget, double allowedPerSecond, core::TimePoint now) const;
 
--- a/tests/deep_service_test.cpp
+++ b/tests/deep_service_test.cpp
@@ -265,7 +265,7 @@
         std::erase_if(running, [&](Running &chain) {
             auto &budget = budgets[chain.caller];
             if (chain.attempts == 0) {
-                budget.countRequest("bordure", false, now);
+                budget.countRequest("bordure", now);
                 requests += isRefusing ? 1 : 0;
             } else {
                 repeats += isRefusing ? 1 : 0;
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -486,6 +486,54 @@
     });
 }
 
+// Guards against repeated requests whose runs make their calls again without a bound (review/14).
+Test(mesh, calls_of_a_repeated_run_are_bounded_by_the_retry_budget)
+{
+    tests::Story story;
+    tests::MeshTestbed bed;
+    bed.publish();
+    std::map<std::string, std::shared_ptr<net::HttpExchange>> held;
+    for (const std::string name : {"m1", "m2"}) {
+        bed.add(name, "motivi", [&held, name](const std::shared_ptr<net::HttpExchange> &exchange) {
+            if (exchange->request().path == "/look/root") {
+                held[name] = exchange;
+            } else {
+                tests::MeshTestbed::respondOk(exchange);
+            }
+        });
+        bed.heartbeat(name, 1);
+    }
+    bed.addReady({"c1"}, "commesse");
+    for (const auto *name : {"m1", "m2", "c1"}) {
+        bed.waitForReadyEndpoints(name, 2);
+    }
+    net::ClientResponse answer;
+    std::thread client([&] { answer = bed.request("c1", "/look/root"); });
+    bed.waitUntil([&] { return held.size() == 1; });
+    const auto first = bed.onLoop([&] { return held.begin()->first; });
+    const std::string second = first == "m1" ? "m2" : "m1";
+    bed.kill(first);
+    bed.waitUntil([&] { return held.contains(second); });
+    const auto id = bed.onLoop([&] { return std::string(net::findHeader(held.at(second)->request().headers, "X-Request-Id")); });
+    int served = 0;
+    for (int call = 0; call < 60; ++call) {
+        const auto response = bed.request(second, "/look/" + std::to_string(call), "GET", id);
+        served += response.head.status == 200 ? 1 : 0;
+        if (response.head.status != 200) {
+            story.equal(header(response, "Figpulley-Kind"), std::string("retry-budget-spent"),
+                        "a call beyond the budget to be refused as such");
+            story.equal(header(response, "Figpulley-Ran"), std::string("no"), "and as not run");
+        }
+    }
+    story.check(served > 0 && served <= 48, "no more calls of the repeated run than the slack of the budget allows");
+    bed.onLoop([&] {
+        tests::MeshTestbed::respondOk(held.at(second));
+        return true;
+    });
+    client.join();
+    story.equal(answer.head.status, 200, "the repeated request to be served");
+}
+
 Test(mesh, non_idempotent_request_is_sent_at_most_once)
 {
     tests::Story story;
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -1,6 +1,7 @@
 #include "support/story.h"
 
 #include "node/nodemetrics.h"
+#include "routing/callprofile.h"
 #include "routing/chaintable.h"
 #include "routing/routing.h"
 
@@ -217,7 +218,7 @@
             const auto rank = routing::rootRank(isHighPriority ? 0 : 2, std::to_string(at));
             bool isComplete = true;
             for (int call = 0; call < 5 && isComplete; ++call) {
-                budget.countRequest("bordure", false, now);
+                budget.countRequest("bordure", now);
                 while (core::uniform(random) < 0.55 && isComplete) {
                     isComplete = budget.tryAcquire("bordure", {rank, call}, 16, now);
                 }
@@ -240,7 +241,7 @@
             now += core::Duration(*rc::gen::inRange(0, 200000));
             const bool isRetry = *rc::gen::arbitrary<bool>();
             if (!isRetry) {
-                budget.countRequest("motivi", false, now);
+                budget.countRequest("motivi", now);
                 events.emplace_back(now, false);
             } else if (budget.tryAcquire("motivi",
                                          {core::Rank(*rc::gen::inRange<std::uint32_t>(0, core::Rank::end)), *rc::gen::inRange(0, 6)}, nodes,
@@ -265,6 +266,94 @@
     });
 }
 
+// Guards against repeated requests whose runs make their calls again without a bound (review/14). Pattern: most nodes of a service are
+// killed at once, and the requests that ran there are repeated at the one that is left; each run calls a service behind sixteen times.
+Test(routing, calls_of_repeated_runs_stay_within_the_budget_of_the_service_behind)
+{
+    tests::Story story;
+    const routing::RetryBudgetRules rules {0.2, 48, 10s};
+    constexpr std::size_t nodes = 5;
+    constexpr int callsPerRun = 16;
+    constexpr core::Duration interval = 500ms; // between two requests at a node
+    routing::RetryBudget budget(rules);
+    routing::ChainTable chains;
+    int requests = 0;
+    const auto run = [&](const std::string &id, core::TimePoint now, bool isRepeat, routing::CallReservation reservation) {
+        chains.addRun(id, {core::Rank(100), isRepeat, false}, std::move(reservation));
+        int made = 0;
+        bool isComplete = true;
+        for (int call = 0; call < callsPerRun && isComplete; ++call) {
+            const bool isAcquired = chains.beginNestedCall(id, "bordure");
+            if (isRepeat) {
+                isComplete = isAcquired || budget.tryAcquire("bordure", {core::Rank(100), call}, nodes, now);
+            } else {
+                budget.countRequest("bordure", now);
+                ++requests;
+            }
+            made += isComplete ? 1 : 0;
+        }
+        chains.removeRun(id, isComplete);
+        return made;
+    };
+    auto now = after(0s);
+    for (; now < after(10s); now += interval) {
+        run(std::to_string(now.time_since_epoch().count()), now, false, {});
+    }
+    int repeats = 0;
+    int refused = 0;
+    int failed = 0;
+    for (int repeat = 0; repeat < 23; ++repeat) {
+        auto reservation = budget.tryReserve(chains.expectedCalls(), nodes, now);
+        if (!reservation) {
+            ++refused;
+            continue;
+        }
+        const auto made = run("repeat-" + std::to_string(repeat), now, true, std::move(*reservation));
+        repeats += made;
+        failed += made < callsPerRun ? 1 : 0;
+    }
+    story.check(repeats <= rules.ratio * requests + rules.slack / nodes, "the repeated calls to stay within this node's part");
+    story.check(repeats >= 2 * callsPerRun, "the part to be used");
+    story.check(refused > 0, "further repeated requests to be refused before they run");
+    story.equal(failed, 0, "no run to fail because a call of it finds no budget");
+    story.section("a run that makes fewer calls than expected", [&] {
+        routing::RetryBudget used(rules);
+        auto reservation = used.tryReserve({{"bordure", 6}}, 1, now);
+        story.check(reservation.has_value(), "its calls to be acquired");
+        story.check(reservation && reservation->take("bordure") && !reservation->take("motivi"), "calls of the service alone to be taken");
+        reservation.reset();
+        int acquired = 0;
+        while (used.tryAcquire("bordure", {core::Rank(100), 0}, 1, now)) {
+            ++acquired;
+        }
+        routing::RetryBudget fresh(rules);
+        int allowed = 0;
+        while (fresh.tryAcquire("bordure", {core::Rank(100), 0}, 1, now)) {
+            ++allowed;
+        }
+        story.equal(acquired, allowed - 1, "what it has not used to be free again");
+    });
+    story.section("a run that calls two services, of which one has no budget left", [&] {
+        routing::RetryBudget other(rules);
+        story.check(!other.tryReserve({{"bordure", 1}, {"motivi", 100}}, nodes, now), "nothing to be acquired");
+        story.check(other.tryReserve({{"bordure", 7}}, nodes, now).has_value(), "the other service's budget to be whole");
+    });
+    story.section("how many calls a run is expected to make", [&] {
+        routing::CallProfile profile;
+        story.check(profile.expectedCalls().empty(), "none before the first run");
+        for (int number = 0; number < 200; ++number) {
+            profile.addRun({{"bordure", 4}, {"archivio", number % 3 == 0 ? 1 : 0}});
+        }
+        const auto expected = profile.expectedCalls();
+        story.equal(expected.at("bordure"), 4, "the mean of the runs");
+        story.equal(expected.at("archivio"), 1, "one for a service that a third of them calls");
+        for (int number = 0; number < 400; ++number) {
+            profile.addRun({{"bordure", 4}});
+        }
+        story.check(!profile.expectedCalls().contains("archivio"), "a service that is called no more to be left out");
+    });
+}
+
 Test(routing, nested_calls_inherit_the_rank_of_the_root_call)
 {
     tests::Story story;
