Time a client's silence only while it has something to read

Cause: RelayServer::Connection::isExpired closed a connection in state Writing when nothing had been written for the idle timeout, also when the response had sent nothing to write. Change: only unsent bytes make the client the silent side, and bytes that arrive after a silence start the time anew.

--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -125,6 +125,7 @@
     void resetParser();
     [[nodiscard]] bool trackBodySize();
     void releaseBodySize();
+    [[nodiscard]] bool hasUnsentBytes() const noexcept;
     [[nodiscard]] bool isExpired(core::TimePoint now) const;
 
     Implementation &server;
@@ -140,7 +141,7 @@
     core::Duration stallTimeout {}; // time without progress after which the present response is given up; 0 for the idle timeout
     std::shared_ptr<Exchange> exchange;
     std::shared_ptr<BodyPipe> pipe;
-    core::TimePoint lastProgress; // time when bytes were last read or written
+    core::TimePoint lastProgress; // time when bytes were last read or written, or when there were none to write
     core::TimePoint requestBeganAt {}; // time when the first bytes of the current request were read
     std::size_t bufferedBytes = 0; // size of the body of the current request
     bool isChunked = false;
@@ -425,6 +426,9 @@
         return;
     }
     const auto keepAlive = this->shared_from_this();
+    if (!this->hasUnsentBytes()) {
+        this->lastProgress = core::steadyNow(); // the client has had nothing to read until now
+    }
     const auto maxPendingBytes = BodyPipe::highWaterMark();
     // Without this, the output of a client that never catches up would grow by all that it has read.
     if (this->written >= this->output.size() - this->written) {
@@ -558,6 +562,11 @@
     this->server.connections.erase(this->descriptor);
 }
 
+bool RelayServer::Connection::hasUnsentBytes() const noexcept
+{
+    return this->written < this->output.size() || (this->sharedBody && this->sharedBodyWritten < this->sharedBody->size());
+}
+
 bool RelayServer::Connection::isExpired(core::TimePoint now) const
 {
     const auto age = now - this->lastProgress;
@@ -570,7 +579,8 @@
     case State::Lingering:
         return age > lingerTimeout;
     case State::Writing:
-        return age > (this->stallTimeout.count() > 0 ? this->stallTimeout : this->server.limits.idleTimeout);
+        // While there is nothing to write, the source of the response is silent, not the client.
+        return this->hasUnsentBytes() && age > (this->stallTimeout.count() > 0 ? this->stallTimeout : this->server.limits.idleTimeout);
     case State::Handling:
         return false;
     }
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -416,6 +416,70 @@
     thread.call([&] { server.reset(); });
 }
 
+// Guards against an endpoint that is silent in the middle of its response and is taken for a client that does not read (review/12).
+Test(net, silence_of_a_response_is_not_that_of_its_client)
+{
+    tests::Story story;
+    net::LoopThread thread;
+    constexpr core::Duration idleTimeout = 300ms;
+    std::unique_ptr<net::RelayServer> server;
+    std::shared_ptr<net::BodyPipe> pipe;
+    bool isAbandoned = false;
+    const std::string half(100'000, 'x');
+    thread.call([&] {
+        server = std::make_unique<net::RelayServer>(
+            thread.loop(), net::Address {"127.0.0.1", 0},
+            [&](const std::shared_ptr<net::HttpExchange> &exchange) {
+                pipe = std::make_shared<net::BodyPipe>();
+                pipe->onAbandoned = [&] { isAbandoned = true; };
+                exchange->respondFrom(200, {}, std::nullopt, pipe);
+                pipe->push(half);
+                if (exchange->request().path == "/pauses") {
+                    for (const auto at : {4 * idleTimeout, 8 * idleTimeout}) {
+                        thread.loop().callAfter(at, [&, isLast = at == 8 * idleTimeout] {
+                            pipe->push(half);
+                            if (isLast) {
+                                pipe->finish(true);
+                            }
+                        });
+                    }
+                }
+            },
+            net::RelayServerLimits {.idleTimeout = idleTimeout});
+    });
+    const auto address = thread.call([&] { return server->address(); });
+    story.section("the client reads all the time", [&] {
+        tests::HttpCaller caller;
+        const auto response = caller.get(address, "/pauses", "x");
+        story.equal(response.result.kind, ErrorKind::None, "the response to be complete");
+        story.equal(response.body.size(), 3 * half.size(), "all of it to arrive");
+    });
+    story.section("the client does not read what there is", [&] {
+        const int connection = socket(AF_INET, SOCK_STREAM, 0);
+        const int smallBuffer = 4096;
+        setsockopt(connection, SOL_SOCKET, SO_RCVBUF, &smallBuffer, sizeof smallBuffer);
+        sockaddr_in target {};
+        target.sin_family = AF_INET;
+        target.sin_port = htons(address.port);
+        target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        story.equal(connect(connection, reinterpret_cast<sockaddr *>(&target), sizeof target), 0, "a connection");
+        const std::string request = "GET /stalls HTTP/1.1\r\nHost: a\r\n\r\n";
+        static_cast<void>(!send(connection, request.data(), request.size(), MSG_NOSIGNAL));
+        const auto deadline = core::steadyNow() + 10s;
+        while (core::steadyNow() < deadline && !thread.call([&] { return isAbandoned; })) {
+            thread.call([&] {
+                if (pipe) {
+                    pipe->push(half); // more than the sockets hold
+                }
+            });
+            std::this_thread::sleep_for(20ms);
+        }
+        story.check(thread.call([&] { return isAbandoned; }), "its connection to be ended, and the response abandoned");
+        close(connection);
+    });
+    thread.call([&] { server.reset(); });
+}
+
 // Guards against a response that ends with its connection and is noticed only at the timeout, because its last bytes and the end of the
 // connection are reported together.
 Test(net, end_of_a_connection_is_noticed_together_with_its_last_bytes)
