Signals in series do not shorten a planned stop or end a start

Callers saw: ten orders that their endpoint was running ended with a closed connection, 5 s before the grace time was over (10 of 10 in each run). Cause: cli/runmesh stopped the event loop at the second SIGTERM or SIGINT. Asked of each signal in each phase: a SIGHUP before the node runs ended the process by default, and a changed grace time shortened a stop that had begun.

Change: further stop signals are logged and change nothing; the handlers are installed before the settings are read, and signals that have arrived by then are reported when the loop runs; a stop keeps the grace time with which it has begun.

--- a/src/cli/runmesh.cpp
+++ b/src/cli/runmesh.cpp
@@ -80,7 +80,8 @@
     std::string loadedText;
 };
 
-// Serves until a signal: the first starts a graceful shutdown, the second stops the process at once.
+// Serves until a signal begins a graceful shutdown. Further signals do not shorten it: the platform ends the process when its grace time is
+// over, and requests are in flight until then.
 int serve(const std::string &path, const mesh::MeshSettings &settings)
 {
     core::setLogLevel(settings.logLevel);
@@ -103,11 +104,10 @@
     };
     SettingsFile file(path, node);
     const auto stop = [&](int received) {
-        if (received == 1) {
-            node.stop(finish);
-        } else {
-            loop.stop();
+        if (received > 1) {
+            core::log(core::LogLevel::Info, "signal.repeated", {{"signals", fmt::to_string(received)}});
         }
+        node.stop(finish);
     };
     const SignalWatch signals(loop, stop, [&] { file.reload("SIGHUP"); });
     loop.callEvery(settingsPollInterval, [&] { file.reload("changed file"); });
@@ -126,6 +126,7 @@
     options.add_options()("settings", fmt::format("settings file, JSON with comments; defaults to the path in {}", settingsVariable),
                           cxxopts::value<std::string>());
     const auto parsed = parseOptions(options, arguments);
+    installSignalHandlers();
     if (parsed.count("help") > 0) {
         fmt::print("{}", options.help());
         return exitOk;
--- a/src/cli/signalwatch.cpp
+++ b/src/cli/signalwatch.cpp
@@ -33,6 +33,7 @@
 {
     std::signal(SIGTERM, &countSignal);
     std::signal(SIGINT, &countSignal);
+    std::signal(SIGHUP, &countSignal);
     std::signal(SIGPIPE, SIG_IGN);
 }
 
@@ -51,16 +52,21 @@
     this->readDescriptor = descriptors[0];
     wakeDescriptor.store(descriptors[1]);
     installSignalHandlers();
-    std::signal(SIGHUP, &countSignal);
+    if (receivedStopSignals() > 0 || pendingReloads.load() > 0) {
+        const char byte = 0;
+        static_cast<void>(!write(descriptors[1], &byte, 1));
+    }
     loop.watch(this->readDescriptor, true, false,
-               [descriptor = this->readDescriptor, onStop = std::move(onStop), onReload = std::move(onReload)](bool, bool) {
+               [descriptor = this->readDescriptor, onStop = std::move(onStop), onReload = std::move(onReload),
+                reportedStops = 0](bool, bool) mutable {
                    std::array<char, 16> drained {};
                    while (read(descriptor, drained.data(), drained.size()) > 0) { }
                    if (pendingReloads.exchange(0) > 0) {
                        onReload();
                    }
-                   if (receivedStopSignals() > 0) {
-                       onStop(receivedStopSignals());
+                   if (const int received = receivedStopSignals(); received > reportedStops) {
+                       reportedStops = received;
+                       onStop(received);
                    }
                });
 }
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -326,7 +326,9 @@
 {
     auto expected = this->settings;
     expected.logLevel = changed.logLevel;
-    expected.grace = changed.grace;
+    if (!this->boardSections.lifecycle.read().isStopping) {
+        expected.grace = changed.grace; // a stop that has begun ends by the grace time with which it has begun
+    }
     expected.retryBudget = changed.retryBudget;
     expected.limitProbeInterval = changed.limitProbeInterval;
     this->settings = expected;
@@ -343,11 +345,11 @@
 
 void MeshNode::stop(std::function<void(std::size_t)> callback)
 {
-    if (this->onStopped) {
+    auto &lifecycle = this->boardSections.lifecycle.write();
+    if (lifecycle.isStopping) {
         return;
     }
     this->onStopped = std::move(callback);
-    auto &lifecycle = this->boardSections.lifecycle.write();
     lifecycle.isStopping = true;
     lifecycle.stopRequestedAt = core::steadyNow();
     lifecycle.responsesDueAt = lifecycle.stopRequestedAt + this->settings.grace - responseMargin;
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -3,13 +3,20 @@
 #include "support/story.h"
 
 #include <atomic>
+#include <csignal>
+#include <filesystem>
 #include <memory>
 #include <mutex>
 #include <set>
+#include <string>
 #include <thread>
 #include <vector>
 
+#include <ace/Process.h>
+#include <fcntl.h>
 #include <netinet/tcp.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
 
 using namespace figpulley;
 using namespace std::chrono_literals;
@@ -351,6 +358,71 @@
     story.check(served > 40, fmt::format("the requests of the first seconds to be served, not {}", served));
 }
 
+// Guards against further signals that end a planned stop at once, with requests in flight (review/11).
+Test(process, signals_in_series_do_not_shorten_a_planned_stop)
+{
+    tests::Story story;
+    const std::vector<std::vector<int>> series {
+        {SIGTERM, SIGTERM, SIGINT, SIGHUP, SIGTERM},
+        {SIGHUP, SIGINT, SIGTERM, SIGHUP, SIGINT},
+    };
+    for (const auto &signals : series) {
+        story.section(fmt::format("signals {}", fmt::join(signals, ", ")), [&] {
+            RecordingEndpoint endpoint;
+            Fleet fleet({"127.0.0.1", 0},
+                        [&](Fleet &self, const std::shared_ptr<net::HttpExchange> &exchange) { endpoint.handle(self, exchange); });
+            std::atomic<int> served = 0;
+            std::vector<std::thread> clients;
+            for (int at = 0; at < 10; ++at) {
+                clients.emplace_back([&, at] {
+                    const Client client(fleet.entry->vm().entrance);
+                    const auto id = fmt::format("series-{}", at);
+                    served += client.send("POST", "/order/1500", id) && client.readResponse() == 200 ? 1 : 0;
+                });
+            }
+            std::this_thread::sleep_for(300ms);
+            const auto signalled = core::steadyNow();
+            for (const auto signal : signals) {
+                fleet.entry->signal(signal);
+                std::this_thread::sleep_for(100ms);
+            }
+            for (auto &client : clients) {
+                client.join();
+            }
+            story.equal(served.load(), 10, "all requests that were read to be answered");
+            const auto graceLeft = std::chrono::seconds(Fleet::defaultGraceSeconds) - (core::steadyNow() - signalled);
+            story.check(fleet.entry->waitForExit(graceLeft), "the process to end within its grace period");
+        });
+    }
+}
+
+// Guards against a process that a signal about changed settings ends while it starts. Its settings come from a pipe, so that it waits for
+// them.
+Test(process, signal_during_the_start_does_not_end_the_process)
+{
+    tests::Story story;
+    std::string pattern = (std::filesystem::temp_directory_path() / "figpulley-start-XXXXXX").string();
+    const std::string folder = mkdtemp(pattern.data());
+    const auto pipe = folder + "/settings";
+    cr_assert(mkfifo(pipe.c_str(), 0600) == 0, "a named pipe could not be made");
+    std::signal(SIGPIPE, SIG_IGN); // the process may have ended before its settings are written
+    ACE_Process_Options options;
+    options.command_line("%s mesh --settings %s", FIGPULLEY_BINARY, pipe.c_str());
+    ACE_Process process;
+    cr_assert(process.spawn(options) > 0, "the process could not be started");
+    const int settings = open(pipe.c_str(), O_WRONLY | O_CLOEXEC); // returns once the process reads
+    process.kill(SIGHUP);
+    std::this_thread::sleep_for(100ms);
+    story.check(process.running() != 0, "the process to wait on for its settings");
+    const std::string text = "{}";
+    static_cast<void>(!write(settings, text.data(), text.size()));
+    close(settings);
+    ACE_exitcode status = 0;
+    process.wait(&status);
+    story.check(WIFEXITED(status) && WEXITSTATUS(status) == 1, "it to read them, and to end as they are incomplete");
+    std::filesystem::remove_all(folder);
+}
+
 // Guards against a node that ends before its clients have read what it has for them.
 Test(process, planned_stop_waits_for_clients_that_read_slowly)
 {
