Send request bodies from where they stand

Callers saw: a body of 40 MB ends the process beside the endpoint, and all that it holds. Cause: the limit of 48 MiB counts the bodies in RelayServer; ClientRequest::body and the output of RelayClient had one copy each, a growing string more, and the node beside the endpoint that takes the request holds all of it twice.

Change: ClientRequest::sharedBody refers to the body of the exchange; RelayClient writes it after the head (bodies up to 64 KB are still copied behind the head, for one call); a body of declared length is reserved at once.

--- a/src/mesh/inboundproxy.cpp
+++ b/src/mesh/inboundproxy.cpp
@@ -158,7 +158,9 @@
         net::ClientRequest request;
         request.method = incoming.method;
         request.url = fmt::format("http://{}{}{}", context.settings.upstream.toString(), incoming.path, incoming.query);
-        request.body = incoming.body;
+        if (!incoming.body.empty()) {
+            request.sharedBody = std::shared_ptr<const std::string>(this->exchange, &incoming.body);
+        }
         request.timeout = this->deadline - this->started + upstreamTimeoutMargin;
         request.connectTimeout = std::min(upstreamConnectTimeout, request.timeout);
         // A reused connection may fail while it carries the request, and it would be unknown whether the request ran.
--- a/src/mesh/outboundproxy.cpp
+++ b/src/mesh/outboundproxy.cpp
@@ -209,7 +209,9 @@
         net::ClientRequest request;
         request.method = incoming.method;
         request.url = fmt::format("http://{}{}{}", this->node, incoming.path, incoming.query);
-        request.body = incoming.body;
+        if (!incoming.body.empty()) {
+            request.sharedBody = std::shared_ptr<const std::string>(this->exchange, &incoming.body);
+        }
         request.timeout = head.remaining + streamTimeoutMargin; // the timer of the call expires earlier, unless the response is streamed
         request.connectTimeout = std::min(peerConnectTimeout, head.remaining);
         request.mayResend = false;
@@ -461,6 +463,10 @@
     changed.bodyBytes = limits.bodyBytes;
     changed.headerTimeout = limits.headerTimeout;
     changed.idleTimeout = limits.idleTimeout;
+    if (limits.bodyBytes > changed.maxBufferedBodyBytes) {
+        core::log(core::LogLevel::Warning, "config.body_limit_not_reached",
+                  {{"body_bytes", fmt::to_string(limits.bodyBytes)}, {"taken_bytes", fmt::to_string(changed.maxBufferedBodyBytes)}});
+    }
     this->server->setLimits(changed);
 }
 
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -364,11 +364,11 @@
             transfer.headerList = curl_slist_append(transfer.headerList, line.c_str());
         }
         transfer.headerList = curl_slist_append(transfer.headerList, "Expect:");
-        const bool hasBody = !request.body.empty() || request.method == "POST" || request.method == "PUT";
+        const bool hasBody = !bodyOf(request).empty() || request.method == "POST" || request.method == "PUT";
         if (request.method == "HEAD") {
             curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
         } else if (hasBody) {
-            transfer.body = request.body;
+            transfer.body = bodyOf(request);
             curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(transfer.body.size()));
             curl_easy_setopt(handle, CURLOPT_POSTFIELDS, transfer.body.c_str());
         }
--- a/src/net/httpsender.h
+++ b/src/net/httpsender.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,6 +21,7 @@
     std::string url; ///< URL of the form `http://ip:port/path?query`
     Headers headers;
     std::string body;
+    std::shared_ptr<const std::string> sharedBody {}; ///< sent in place of `body`, without a copy; must not be empty
     core::Duration timeout {}; ///< time limit for the whole exchange
     core::Duration headTimeout {}; ///< HttpClient: time limit until the head of the response is complete; 0 applies only `timeout`
     core::Duration connectTimeout {}; ///< time limit for the connection to be established; 0 applies only `timeout`
@@ -32,6 +34,12 @@
     core::Duration ackTimeout {}; ///< the connection fails if the peer acknowledges nothing for this long; 0 disables the check
 };
 
+/// Returns the body that a request is sent with.
+[[nodiscard]] inline const std::string &bodyOf(const ClientRequest &request) noexcept
+{
+    return request.sharedBody ? *request.sharedBody : request.body;
+}
+
 /// Status and headers of a response.
 struct ClientResponseHead
 {
--- a/src/net/messageparser.h
+++ b/src/net/messageparser.h
@@ -2,6 +2,7 @@
 
 #include "net/header.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -16,6 +17,9 @@
 /// Fewest bytes from the header of a chunk to the end of the message: the last chunk and the end of the trailer.
 inline constexpr std::size_t minChunkHeaderBytes = 5;
 
+/// Most bytes that are reserved for a body because its length is declared.
+inline constexpr std::size_t maxReservedBytes = 64UL << 20U;
+
 /// Parses one HTTP message incrementally with the parser of Boost.Beast.
 template<bool isRequest>
 class MessageParser : public boost::beast::http::basic_parser<isRequest>
@@ -65,6 +69,9 @@
     {
         if (declaredLength) {
             this->length = static_cast<std::size_t>(*declaredLength);
+            if (!this->onBody) {
+                this->body.reserve(std::min(*this->length, maxReservedBytes)); // growing would copy a large body several times
+            }
         }
     }
 
--- a/src/net/relayclient.cpp
+++ b/src/net/relayclient.cpp
@@ -28,6 +28,7 @@
 // Shorter than the time for which servers keep idle connections, so that no server closes a connection while a request is sent on it.
 constexpr Duration defaultMaxIdleTime = 30s;
 constexpr std::size_t maxIdlePerAddress = 256;
+constexpr std::size_t maxCopiedBodyBytes = 64UL * 1024UL; // larger shared bodies are written without a copy
 // Applies to the heads of interim and final responses together, to a chunk's header and to the trailer.
 constexpr std::uint32_t maxHeaderBytes = 64U * 1024U;
 constexpr std::string_view scheme = "http://";
@@ -61,7 +62,6 @@
 std::string formatRequestHead(const ClientRequest &request, const std::string &address, std::string_view target)
 {
     std::string head;
-    head.reserve(512 + request.body.size());
     head.append(request.method).append(" ").append(target).append(" HTTP/1.1\r\n");
     if (findHeader(request.headers, "Host").empty()) {
         head.append("Host: ").append(address).append("\r\n");
@@ -69,9 +69,10 @@
     for (const auto &header : request.headers) {
         head.append(header.name).append(": ").append(header.value).append("\r\n");
     }
-    const bool hasBody = !request.body.empty() || request.method == "POST" || request.method == "PUT";
+    const auto &body = bodyOf(request);
+    const bool hasBody = !body.empty() || request.method == "POST" || request.method == "PUT";
     if (hasBody) {
-        head.append(fmt::format("Content-Length: {}\r\n", request.body.size()));
+        head.append(fmt::format("Content-Length: {}\r\n", body.size()));
     }
     head.append("\r\n");
     return head;
@@ -112,6 +113,7 @@
     void startExchange(TransferId id, const ClientRequest &request, ClientCallbacks callbacks, std::string_view target);
     void onChange(const Readiness &readiness);
     void flush();
+    [[nodiscard]] bool writePending(std::string_view bytes, std::size_t &position);
     void readAvailable();
     bool parse(std::string_view bytes);
     bool checkSize();
@@ -135,6 +137,8 @@
     std::string body; // parsed bytes of the body that were not delivered
     std::string output;
     std::size_t written = 0; // number of bytes of the output that were written
+    std::shared_ptr<const std::string> requestBody; // body to write after the output
+    std::size_t requestBodyWritten = 0; // number of its bytes that were written
     std::size_t received = 0; // number of bytes of the response that were received
     std::size_t maxResponseBytes = 0; // 0 for no limit
     EventLoop::TimerId timer = EventLoop::noTimer;
@@ -202,8 +206,13 @@
     this->hasWriteFailed = false;
     this->body.clear();
     this->startParser();
-    this->output = formatRequestHead(request, this->address, target) + request.body;
+    this->output = formatRequestHead(request, this->address, target);
+    // A small body goes out with the head in one call.
+    const bool isShared = request.sharedBody && request.sharedBody->size() > maxCopiedBodyBytes;
+    this->output.append(isShared ? std::string_view() : std::string_view(bodyOf(request)));
     this->written = 0;
+    this->requestBody = isShared ? request.sharedBody : nullptr;
+    this->requestBodyWritten = 0;
     this->received = 0;
     this->maxResponseBytes = request.maxResponseBytes;
     auto &loop = this->client.loop;
@@ -257,19 +266,31 @@
 
 void RelayClient::Connection::flush()
 {
-    while (this->written < this->output.size()) {
+    if (!this->writePending(this->output, this->written)) {
+        return;
+    }
+    if (this->requestBody && this->writePending(*this->requestBody, this->requestBodyWritten)) {
+        this->requestBody.reset();
+    }
+}
+
+// Writes the bytes after a position as far as the socket takes them. Returns whether all are written.
+bool RelayClient::Connection::writePending(std::string_view bytes, std::size_t &position)
+{
+    while (position < bytes.size()) {
         std::size_t sent = 0;
-        const auto result = writeSome(this->descriptor, std::string_view(this->output).substr(this->written), sent);
+        const auto result = writeSome(this->descriptor, bytes.substr(position), sent);
         if (result == IoResult::WouldBlock) {
-            return;
+            return false;
         }
         if (result != IoResult::Done) {
             this->hasWriteFailed = true;
             this->finishDeferred(this->connectionErrorKind(), "the connection failed while the request was being sent");
-            return;
+            return false;
         }
-        this->written += sent;
+        position += sent;
     }
+    return true;
 }
 
 void RelayClient::Connection::readAvailable()
@@ -468,6 +489,7 @@
     this->client.busy.erase(static_cast<std::uint64_t>(this->id));
     const auto finishedCallbacks = std::exchange(this->callbacks, {});
     this->output.clear();
+    this->requestBody.reset();
     this->input.clear();
     if (kind == ErrorKind::None && this->isReusable && !this->isPeerClosed && this->maxIdleTime.count() > 0) {
         this->client.storeIdle(keepAlive);
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -2,6 +2,8 @@
 #include "support/nodeprocess.h"
 #include "support/story.h"
 
+#include "net/relayserver.h"
+
 #include <atomic>
 #include <csignal>
 #include <filesystem>
@@ -64,6 +66,21 @@
         return this->isConnected && ::send(this->descriptor, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
     }
 
+    /// Sends a request with a long body of one repeated byte.
+    /// @returns whether all of it was written
+    [[nodiscard]] bool sendBody(const std::string &path, const std::string &id, std::size_t bytes, bool isChunked) const
+    {
+        const auto framing = isChunked ? std::string("Transfer-Encoding: chunked") : fmt::format("Content-Length: {}", bytes);
+        bool isWritten = this->isConnected
+            && this->writeAll(fmt::format("POST {} HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {}\r\nX-Deadline-Ms: 9000\r\n{}\r\n\r\n",
+                                          path, id, framing));
+        const std::string piece(1UL << 20U, 'x');
+        for (std::size_t sent = 0; sent < bytes && isWritten; sent += piece.size()) {
+            isWritten = this->writeAll(isChunked ? fmt::format("{:x}\r\n{}\r\n", piece.size(), piece) : piece);
+        }
+        return isWritten && (!isChunked || this->writeAll("0\r\n\r\n"));
+    }
+
     /// Reads one response that declares its length or is chunked.
     /// @param blockDelay pause before each read of up to 16 KB
     /// @returns the status, or 0 if the connection ended before the end of the response
@@ -93,6 +110,18 @@
     }
 
 private:
+    [[nodiscard]] bool writeAll(std::string_view bytes) const
+    {
+        while (!bytes.empty()) {
+            const auto sent = ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (sent <= 0) {
+                return false;
+            }
+            bytes.remove_prefix(static_cast<std::size_t>(sent));
+        }
+        return true;
+    }
+
     int descriptor;
     bool isConnected = false;
 };
@@ -152,6 +181,22 @@
         return this->thread.loop();
     }
 
+    /// Publishes a configuration and waits until both nodes use it.
+    void publish(const std::string &configuration, int version)
+    {
+        auto text = configuration;
+        const std::string first = R"("Version":1)";
+        text.replace(text.find(first), first.size(), fmt::format(R"("Version":{})", version));
+        this->thread.call([&] { this->store->write("config", "main", text); });
+        const auto deadline = core::steadyNow() + 10s;
+        for (const auto *node : {this->entry.get(), this->beside.get()}) {
+            while (this->statusOf(*node).find(fmt::format("\"config_version\":{},", version)) == std::string::npos) {
+                cr_assert(core::steadyNow() < deadline, "version %d was not in use within 10 s", version);
+                std::this_thread::sleep_for(20ms);
+            }
+        }
+    }
+
     /// @returns the number of 20 requests to the sound endpoint that were served
     [[nodiscard]] int countServed()
     {
@@ -186,13 +231,18 @@
         }
     }
 
+    [[nodiscard]] std::string statusOf(const tests::NodeProcess &node)
+    {
+        net::ClientRequest request;
+        request.url = "http://" + node.vm().metrics.toString() + "/status";
+        return this->caller.call(request).body;
+    }
+
     void waitUntilServed()
     {
         const auto deadline = core::steadyNow() + 10s;
         const auto knowsBoth = [this](const tests::NodeProcess &node) {
-            net::ClientRequest request;
-            request.url = "http://" + node.vm().metrics.toString() + "/status";
-            const auto body = this->caller.call(request).body;
+            const auto body = this->statusOf(node);
             return body.find("\"endpoints_known\":2") != std::string::npos && body.find("\"open\":true") != std::string::npos;
         };
         while ((!knowsBoth(*this->entry) || !knowsBoth(*this->beside)) && core::steadyNow() < deadline) {
@@ -423,6 +473,70 @@
     std::filesystem::remove_all(folder);
 }
 
+namespace
+{
+/// Endpoint that takes long bodies.
+class BodyCountingEndpoint
+{
+public:
+    BodyCountingEndpoint()
+    {
+        this->thread.call([this] {
+            this->server = std::make_unique<net::RelayServer>(
+                this->thread.loop(), net::Address {"127.0.0.1", 0}, [this](const std::shared_ptr<net::HttpExchange> &exchange) {
+                    this->largest = std::max(this->largest.load(), exchange->request().body.size());
+                    tests::MeshTestbed::respondOk(exchange);
+                });
+        });
+    }
+
+    ~BodyCountingEndpoint()
+    {
+        this->thread.call([this] { this->server.reset(); });
+    }
+
+    BodyCountingEndpoint(const BodyCountingEndpoint &) = delete;
+    BodyCountingEndpoint &operator=(const BodyCountingEndpoint &) = delete;
+
+    [[nodiscard]] net::Address address()
+    {
+        return this->thread.call([this] { return this->server->address(); });
+    }
+
+    [[nodiscard]] std::size_t largestBody() const noexcept
+    {
+        return this->largest;
+    }
+
+private:
+    net::LoopThread thread;
+    std::unique_ptr<net::RelayServer> server;
+    std::atomic<std::size_t> largest {0};
+};
+} // namespace
+
+// Guards against a request with a long body that takes a process over the memory of the smallest VM, since it holds the body several times
+// (review/7). The request enters at the node beside the endpoint, which holds it as the one that sends and as the one that receives.
+Test(process, long_request_body_leaves_its_node_within_the_smallest_vm)
+{
+    tests::Story story;
+    constexpr std::size_t smallestVm = 160'000'000; // bytes that the users' smallest VMs give a process
+    constexpr std::size_t bodyBytes = 48UL << 20U; // the largest total that is taken
+    BodyCountingEndpoint endpoint;
+    Fleet fleet(endpoint.address());
+    fleet.publish(std::string(routes).replace(std::string(routes).find("1000000"), 7, "67108864"), 2);
+    for (const bool isChunked : {false, true}) {
+        story.section(isChunked ? "a body in chunks" : "a body with its length", [&] {
+            const Client client(fleet.beside->vm().entrance);
+            story.check(client.sendBody("/order/1", isChunked ? "chunked" : "whole", bodyBytes, isChunked), "the request to be read");
+            story.equal(client.readResponse(), 200, "it to be served");
+            story.equal(endpoint.largestBody(), bodyBytes, "the whole body to reach the endpoint");
+        });
+    }
+    story.check(fleet.beside->peakMemory() < smallestVm,
+                fmt::format("the node within its memory, not {} bytes", fleet.beside->peakMemory()));
+}
+
 // Guards against a node that ends before its clients have read what it has for them.
 Test(process, planned_stop_waits_for_clients_that_read_slowly)
 {
