--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -41,8 +41,8 @@
     /// @returns false if any other setting has changed, which needs a restart
     bool reload(const MeshSettings &changed);
 
-    /// Begins a planned stop: reports that the node is not ready, refuses new attempts as not run and finishes the requests in flight. Later
-    /// calls do nothing.
+    /// Begins a planned stop: reports that the node is not ready, refuses new attempts as not run and finishes the requests in flight.
+    /// Later calls do nothing.
     /// @param onStopped called when no requests are left or the grace time is over; receives the number of requests that were cut off
     void stop(std::function<void(std::size_t)> onStopped);
 
