Lists that cannot be completed are repeated after growing delays

What the store saw: a list whose later page is never usable began again every 75 to 150 ms, because each good first page reset the count of failures. Pages, watches or other calls that state another era each time began a list at once, without any delay; so did a store that answers every list and no watch.

Cause: CollectionFollower counted failed calls, not lists that were not completed, and did not count lists that a new era had caused.

Change: failureCount is reset by a complete list only. A failed watch or another era begins a list at once only after a successful watch, further ones after the delays that history_gone had already. A scheduled list ends the current one, so that no second list begins beside it.

Test: restore/list_that_cannot_be_completed_is_repeated_after_growing_delays; both sections failed before.

--- a/src/mesh/collectionfollower.cpp
+++ b/src/mesh/collectionfollower.cpp
@@ -40,8 +40,8 @@
 
 void CollectionFollower::followEra(std::uint64_t current)
 {
-    if (this->era != current && !this->isFirstPageAwaited) {
-        this->list();
+    if (this->era != current && !this->isFirstPageAwaited && !this->isListScheduled) {
+        this->restartList(this->restartCount);
     }
 }
 
@@ -63,9 +63,22 @@
     this->listRevision = 0;
     this->listedPages = 0;
     this->isFirstPageAwaited = true;
+    this->isListScheduled = false;
     this->requestPage({});
 }
 
+// The first list after a successful watch begins without delay, because it includes all changes that the watch may have missed. Further
+// ones are delayed: a store that answers every list and no watch, or states another era with each response, must not be listed in a loop.
+void CollectionFollower::restartList(int &count)
+{
+    if (count > 0) {
+        this->scheduleList(count);
+        return;
+    }
+    count = 1;
+    this->list();
+}
+
 void CollectionFollower::requestPage(const std::string &after)
 {
     this->store.list(this->collection, after, this->callback(&CollectionFollower::handlePage));
@@ -87,7 +100,7 @@
         this->era = page.era;
         this->listener.onListBegun(this->era);
     } else if (page.era != this->era) {
-        this->list();
+        this->restartList(this->restartCount);
         return;
     } else if (page.revision < this->listRevision) {
         // A source that knows less than that of the first page: the watch would miss the changes in between.
@@ -112,6 +125,7 @@
                {"objects", fmt::to_string(this->names.size())},
                {"earlier_revision", fmt::to_string(this->revision)}});
     this->staleListCount = 0;
+    this->failureCount = 0;
     this->listener.onListed(this->names, this->listRevision);
     this->revision = this->listRevision;
     this->listener.onCaughtUp(this->revision);
@@ -128,32 +142,22 @@
     if (changes.kind == ErrorKind::HistoryGone) {
         core::log(core::LogLevel::Info, "store.history_gone",
                   {{"collection", this->collection}, {"revision", fmt::to_string(this->revision)}});
-        // A watcher or a store that answers every list and no watch must not be listed in a loop.
-        if (this->historyGoneCount > 0) {
-            this->scheduleList(this->historyGoneCount);
-            return;
-        }
-        this->historyGoneCount = 1;
-        this->list();
+        this->restartList(this->historyGoneCount);
         return;
     }
     this->setStoreReachable(changes.kind == ErrorKind::None);
     if (changes.kind != ErrorKind::None) {
-        // After a failed watch the collection is listed without delay, because a list includes all changes that the watch has missed.
-        if (this->failureCount == 0) {
-            this->failureCount = 1;
-            this->list();
-            return;
-        }
-        this->scheduleList(this->failureCount);
+        this->failureCount = 1; // no list has failed since the last complete one
+        this->restartList(this->restartCount);
         return;
     }
-    this->historyGoneCount = 0;
     if (changes.era != this->era) {
         // The store was restored during the watch: the changes follow a revision of the earlier era, so some may be missing.
-        this->list();
+        this->restartList(this->restartCount);
         return;
     }
+    this->restartCount = 0;
+    this->historyGoneCount = 0;
     for (const auto &item : changes.items) {
         this->listener.onItem(item);
     }
@@ -188,13 +192,15 @@
     }
 }
 
-// Lists the collection after a delay that doubles with a count of failures, and raises the count.
+// Lists the collection after a delay that doubles with a count of failures, and raises the count. Ends the current list or watch.
 void CollectionFollower::scheduleList(int &count)
 {
     const auto doublings = std::min(count, maxDoublings);
     count = doublings + 1;
     const auto backoff = std::min(maxBackoff, minBackoff * (1 << doublings));
     const auto jittered = std::chrono::duration_cast<core::Duration>(backoff * (0.5 + 0.5 * core::uniform(this->random)));
+    ++this->round;
+    this->isListScheduled = true;
     this->schedule(jittered, [weak = this->weak_from_this(), startedIn = this->round] {
         const auto self = weak.lock();
         if (self && self->round == startedIn) {
@@ -205,9 +211,6 @@
 
 void CollectionFollower::setStoreReachable(bool isReachable)
 {
-    if (isReachable) {
-        this->failureCount = 0;
-    }
     if (isReachable != this->isStoreReachable) {
         core::log(isReachable ? core::LogLevel::Info : core::LogLevel::Warning, isReachable ? "store.regained" : "store.lost",
                   {{"collection", this->collection}, {"revision", fmt::to_string(this->revision)}, {"era", fmt::to_string(this->era)}});
--- a/src/mesh/collectionfollower.h
+++ b/src/mesh/collectionfollower.h
@@ -35,11 +35,12 @@
 
     void start();
 
-    /// Lists the collection again unless its contents are of this era or the first page of a list is awaited already.
+    /// Lists the collection again unless its contents are of this era, or a list is scheduled or its first page awaited already.
     void followEra(std::uint64_t era);
 
 private:
     void list();
+    void restartList(int &count);
     void requestPage(const std::string &after);
     void handlePage(const store::CollectionItems &page);
     void startWatch();
@@ -61,13 +62,15 @@
     std::string listedName; // last name of the pages read by the current list
     std::uint64_t listRevision = 0;
     std::uint64_t revision = 0;
-    std::uint64_t round = 0; // number of lists begun; responses to calls of earlier rounds are ignored
-    int failureCount = 0; // number of consecutive calls that failed
+    std::uint64_t round = 0; // number of lists begun or scheduled; responses to calls of earlier rounds are ignored
+    int failureCount = 0; // number of calls that failed since the last complete list
+    int restartCount = 0; // number of lists since the last successful watch that failed watches or other eras have caused
     int historyGoneCount = 0; // number of times that the history was gone since the last successful watch
     int staleListCount = 0; // number of lists in a row that ended because a later page was older than the first
     int watchesWithChanges = 0; // number of consecutive watches that returned changes
     std::size_t listedPages = 0; // number of pages of the last list
     bool isFirstPageAwaited = false;
+    bool isListScheduled = false;
     bool isStoreReachable = true;
 };
 } // namespace figpulley::mesh
--- a/tests/restore_test.cpp
+++ b/tests/restore_test.cpp
@@ -115,6 +115,37 @@
     });
 }
 
+// Guards against a store that is listed in a loop because each list ends at a later page (issue 29).
+Test(restore, list_that_cannot_be_completed_is_repeated_after_growing_delays)
+{
+    tests::Story story;
+    // Ten seconds at half of the longest delay of 0.8 s, and the shorter ones before.
+    constexpr int allowedLists = 10 * 2 + 10;
+    const auto countLists = [](const std::function<void(tests::RestorableStore &)> &disturb) {
+        FollowedStore followed;
+        followed.store.pageSize = 2;
+        followed.store.latency = 5ms;
+        followed.store.copy();
+        disturb(followed.store);
+        followed.store.restore(Watches::Fail);
+        const auto before = followed.store.lists;
+        followed.timers.advance(10s);
+        const auto lists = followed.store.lists - before;
+        followed.store.refusesLaterPages = false;
+        followed.store.risesEra = false;
+        followed.timers.advance(2s);
+        cr_expect(followed.isUpToDate(), "expected the collection to be known within 2 s once it can be listed");
+        return lists / 2; // each list reads two pages
+    };
+    story.section("a later page is refused", [&] {
+        story.check(countLists([](tests::RestorableStore &store) { store.refusesLaterPages = true; }) <= allowedLists,
+                    "delays that grow although each first page is read");
+    });
+    story.section("each page states another era", [&] {
+        story.check(countLists([](tests::RestorableStore &store) { store.risesEra = true; }) <= allowedLists, "the same delays");
+    });
+}
+
 // Guards against contents of two eras in one list, and against late responses of an earlier era after those of the next one.
 Test(restore, responses_of_two_eras_are_not_mixed)
 {
--- a/tests/support/restorablestore.h
+++ b/tests/support/restorablestore.h
@@ -56,8 +56,9 @@
     void list(const std::string &collection, const std::string &after, ItemsCallback callback) override
     {
         ++this->lists;
+        this->era += this->risesEra ? 1 : 0;
         store::CollectionItems page = this->response();
-        if (this->isBusy) {
+        if (this->isBusy || (this->refusesLaterPages && !after.empty())) {
             page.kind = core::ErrorKind::PlatformUnavailable;
         } else {
             const auto &objects = this->state.objects[collection];
@@ -131,6 +132,8 @@
     std::size_t pageSize = 500;
     int lists = 0;
     bool isBusy = false; ///< refuses all calls; the refusals state the era
+    bool refusesLaterPages = false; ///< refuses all pages of a list but the first
+    bool risesEra = false; ///< states a new era with each page, as a faulty store may do
     core::Duration latency {}; ///< time until a response arrives; the call takes effect at once
 
 private:
