--- a/src/mesh/neighbourcontacts.cpp
+++ b/src/mesh/neighbourcontacts.cpp
@@ -20,8 +20,8 @@
 
 constexpr std::size_t greetingFieldCount = 2;
 constexpr core::Duration updateInterval = 2s;
-constexpr core::Duration renewalInterval =
-    2s; // after which an open contact is answered and sent again; a VM without power is noticed by then
+// Time after which an open contact is answered and sent again. A VM without power is noticed by then.
+constexpr core::Duration renewalInterval = 2s;
 constexpr core::Duration answerMargin = 500ms; // for the round trip and for a busy neighbour
 constexpr core::Duration connectTimeout = 300ms;
 // A node that starts waits 1 s for its neighbours before it relies on its endpoint alone.
