Tests that see what two tests of planned stops and slow clients missed

process/planned_stop_waits_for_clients_that_read_slowly passes without the wait for unsent responses: from the last byte of the endpoint to the moment at which the client's socket has taken all, its node has only 0.2 s, and it ends only 0.3 s after the last arrival. process/planned_stop_keeps_what_clients_have_not_read sizes the response so that half of what the node buffers remains in the node, as /proc/net/tcp shows, and reads only after the time at which an idle node ends.

process/response_to_a_client_that_never_catches_up_takes_bounded_memory passes without the erasure of what was read: the socket becomes writable only when a third of its send buffer is free, which takes the whole output and empties it. net/output_of_a_client_that_never_catches_up_does_not_grow keeps the sockets' buffers below the output and the output full.

Both former tests stay.

--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -9,9 +9,14 @@
 
 #include "net/httpserver.h"
 
+#include <fstream>
 #include <future>
+#include <string>
 #include <thread>
 
+#include <fmt/format.h>
+#include <netinet/tcp.h>
+
 using namespace figpulley;
 using core::ErrorKind;
 using namespace std::chrono_literals;
@@ -480,6 +485,78 @@
     thread.call([&] { server.reset(); });
 }
 
+namespace
+{
+/// Returns the largest resident size that this process has had, in bytes.
+std::size_t ownPeakMemory()
+{
+    std::ifstream status("/proc/self/status");
+    const std::string key = "VmHWM:";
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(key)) {
+            return std::stoul(line.substr(key.size())) * 1024UL;
+        }
+    }
+    return 0;
+}
+} // namespace
+
+// Guards against a connection that keeps what its client has read, for as long as the client is behind by less than the buffers hold.
+Test(net, output_of_a_client_that_never_catches_up_does_not_grow)
+{
+    tests::Story story;
+    net::LoopThread thread;
+    std::unique_ptr<net::RelayServer> server;
+    std::shared_ptr<net::BodyPipe> pipe;
+    thread.call([&] {
+        server = std::make_unique<net::RelayServer>(thread.loop(), net::Address {"127.0.0.1", 0},
+                                                    [&](const std::shared_ptr<net::HttpExchange> &exchange) {
+                                                        pipe = std::make_shared<net::BodyPipe>();
+                                                        exchange->respondFrom(200, {}, std::nullopt, pipe);
+                                                    });
+    });
+    const int client = socket(AF_INET, SOCK_STREAM, 0);
+    // Keeps the sockets' buffers smaller than the output, which a socket that takes all of it would empty each time.
+    const int receiveBufferBytes = 4096;
+    const int segmentBytes = 536;
+    setsockopt(client, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
+    setsockopt(client, IPPROTO_TCP, TCP_MAXSEG, &segmentBytes, sizeof segmentBytes);
+    sockaddr_in target {};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(thread.call([&] { return server->address(); }).port);
+    target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    story.equal(connect(client, reinterpret_cast<sockaddr *>(&target), sizeof target), 0, "a connection");
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    static_cast<void>(!send(client, request.data(), request.size(), MSG_NOSIGNAL));
+    std::string block(32768, 'x');
+    // Pushes until the output of the connection is full.
+    const auto fallBehind = [&] {
+        do {
+            pipe->push(block);
+        } while (pipe->isEmpty());
+    };
+    while (!thread.call([&] { return pipe != nullptr; })) {
+        std::this_thread::sleep_for(1ms);
+    }
+    thread.call(fallBehind);
+    const auto before = ownPeakMemory();
+    constexpr int blocks = 1500; // 48 MB
+    bool isRead = true;
+    for (int at = 0; at < blocks && isRead; ++at) {
+        for (std::size_t got = 0; got < block.size() && isRead;) {
+            const auto size = recv(client, block.data(), block.size() - got, 0);
+            isRead = size > 0;
+            got += isRead ? static_cast<std::size_t>(size) : 0;
+        }
+        thread.call(fallBehind);
+    }
+    story.check(isRead, "the connection to last");
+    constexpr std::size_t allowed = 8'000'000; // far below the response, and above what the buffers of one response may hold
+    story.check(ownPeakMemory() - before < allowed, fmt::format("bounded memory, not {} bytes more", ownPeakMemory() - before));
+    close(client);
+    thread.call([&] { server.reset(); });
+}
+
 // Guards against a response that ends with its connection and is noticed only at the timeout, because its last bytes and the end of the
 // connection are reported together.
 Test(net, end_of_a_connection_is_noticed_together_with_its_last_bytes)
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -7,9 +7,12 @@
 #include <atomic>
 #include <csignal>
 #include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <memory>
 #include <mutex>
 #include <set>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -350,7 +353,7 @@
         return this->ids.contains(id);
     }
 
-    std::size_t bodyBytes = 100;
+    std::atomic<std::size_t> bodyBytes = 100;
 
 private:
     std::mutex mutex;
@@ -564,6 +567,55 @@
                 fmt::format("all answers to be complete after {} ms", core::toMilliseconds(core::steadyNow() - stopped)));
 }
 
+namespace
+{
+/// Returns how many bytes the system holds that were written to the connections of a server and not yet received, as /proc/net/tcp shows.
+std::size_t bytesInSendQueues(const net::Address &server)
+{
+    in_addr ip {};
+    inet_pton(AF_INET, server.ip.c_str(), &ip);
+    const auto local = fmt::format("{:08X}:{:04X}", ip.s_addr, server.port);
+    constexpr int addressField = 1; // then the remote address, the state, and the lengths of both queues
+    std::size_t bytes = 0;
+    std::ifstream table("/proc/net/tcp");
+    for (std::string line; std::getline(table, line);) {
+        std::istringstream fields(line);
+        std::vector<std::string> values(std::istream_iterator<std::string>(fields), {});
+        if (values.size() > addressField + 3 && values[addressField] == local) {
+            bytes += std::stoul(values[addressField + 3], nullptr, 16); // up to the colon
+        }
+    }
+    return bytes;
+}
+} // namespace
+
+// Guards against a node that ends while a response waits in its own memory because the client's socket takes no more (review/2).
+Test(process, planned_stop_keeps_what_clients_have_not_read)
+{
+    tests::Story story;
+    constexpr int receiveBufferBytes = 16384;
+    constexpr std::size_t inProcessBytes = 256UL << 10U; // half of what the process buffers of a response
+    RecordingEndpoint endpoint;
+    endpoint.bodyBytes = 16'000'000;
+    Fleet fleet(
+        {"127.0.0.1", 0}, [&](Fleet &self, const std::shared_ptr<net::HttpExchange> &exchange) { endpoint.handle(self, exchange); }, 10);
+    const auto entrance = fleet.entry->vm().entrance;
+    {
+        const Client measuring(entrance, receiveBufferBytes);
+        static_cast<void>(measuring.send("GET", "/archive/1", "measuring"));
+        std::this_thread::sleep_for(500ms);
+        endpoint.bodyBytes = bytesInSendQueues(entrance) + receiveBufferBytes + inProcessBytes;
+    }
+    std::this_thread::sleep_for(200ms);
+    const Client client(entrance, receiveBufferBytes);
+    static_cast<void>(client.send("GET", "/archive/1", "waiting"));
+    std::this_thread::sleep_for(500ms);
+    cr_assert(bytesInSendQueues(entrance) + receiveBufferBytes < endpoint.bodyBytes, "the process holds none of the response");
+    fleet.entry->signal(SIGTERM);
+    std::this_thread::sleep_for(4500ms);
+    story.equal(client.readResponse(), 200, "the whole response to a client that reads again 4.5 s after the signal");
+}
+
 // Guards against a node that keeps what a client has already read, for as long as the client does not catch up with the endpoint.
 Test(process, response_to_a_client_that_never_catches_up_takes_bounded_memory)
 {
