--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -8,6 +8,11 @@
 #include <fmt/format.h>
 #include <unistd.h>
 
+namespace
+{
+constexpr int usageError = 2;
+} // namespace
+
 // Runs node processes under injected faults and checks what clients and endpoints observe. Prints the result of each seed.
 int main(int count, char **arguments)
 {
@@ -18,8 +23,22 @@
         cxxopts::value<std::uint64_t>()->default_value("1"))("seeds", "number of runs", cxxopts::value<int>()->default_value("1"))(
         "seconds", "duration of the fault injection in each run, in seconds",
         cxxopts::value<int>()->default_value("12"))("vms", "number of nodes in each run", cxxopts::value<int>()->default_value("5"))(
-        "untimed", "skip the checks with a time bound, which fail on a machine under load");
-    const auto parsed = options.parse(count, arguments);
+        "untimed", "skip the checks with a time bound, which fail on a machine under load")("help", "print this text");
+    cxxopts::ParseResult parsed;
+    try {
+        parsed = options.parse(count, arguments);
+    } catch (const cxxopts::exceptions::exception &error) {
+        fmt::print(stderr, "{}\n{}", error.what(), options.help());
+        return usageError;
+    }
+    if (parsed.count("help") > 0) {
+        fmt::print("{}", options.help());
+        return 0;
+    }
+    if (parsed.count("binary") == 0) {
+        fmt::print(stderr, "--binary is missing\n{}", options.help());
+        return usageError;
+    }
     core::setLogLevel(core::LogLevel::Off);
     int failed = 0;
     const auto seeds = parsed["seeds"].as<int>();
--- a/tests/support/twonodemesh.h
+++ b/tests/support/twonodemesh.h
@@ -15,6 +15,8 @@
 #include <string>
 #include <thread>
 
+#include <criterion/criterion.h>
+
 namespace figpulley::tests
 {
 /// Runs two nodes, of the services motivi and commesse, with their upstreams and a platform stand-in on one thread, connected by real
@@ -136,7 +138,9 @@
 
     void waitUntil(const std::function<bool()> &condition)
     {
+        const auto deadline = core::steadyNow() + std::chrono::seconds(10);
         while (!this->thread.call(condition)) {
+            cr_assert(core::steadyNow() < deadline, "the condition did not hold within 10 s");
             std::this_thread::sleep_for(std::chrono::milliseconds(10));
         }
     }
